Lay the workspace with settings, records, consensus and store

With each of four guards off (votes or entries not kept, lease too long, identity reused) the checker reports a violation.

--- /dev/null
+++ b/crates/egret_consensus/src/election.rs
@@ -0,0 +1,170 @@
+//! Elections, with a pre-vote so that a member cut off disturbs nobody.
+
+use std::time::Duration;
+
+use egret_record::MemberId;
+use rand::RngExt as _;
+
+use crate::{
+    message::Body,
+    node::{Node, Progress, Role},
+    types::{Index, Payload, Term},
+};
+
+impl Node {
+    /// Tells whether a request for a vote is to be ignored.
+    ///
+    /// A member that heard its leader lately, or started lately and may have
+    /// forgotten that it did, keeps the leader's lease good.
+    pub(crate) fn is_sticky(&self, body: &Body, now: Duration) -> bool {
+        let asks = matches!(body, Body::PreVote { .. } | Body::Vote { .. });
+        asks && (now < self.heard + self.timing.election || self.holds_lease(now))
+    }
+
+    pub(crate) fn reset_election(&mut self, now: Duration) {
+        let most = self.timing.election.as_micros() as u64;
+        let extra = Duration::from_micros(self.random.random_range(0..=most));
+        self.election_at = now + self.timing.election + extra;
+    }
+
+    pub(crate) fn become_follower(&mut self, term: Term, now: Duration) {
+        if term > self.state.term {
+            self.state.term = term;
+            self.state.vote = None;
+            self.leader = None;
+        }
+        if self.role != Role::Follower {
+            self.role = Role::Follower;
+            self.leader = None;
+            self.reset_election(now);
+        }
+        self.progress.clear();
+    }
+
+    pub(crate) fn start_pre_vote(&mut self, now: Duration) {
+        self.reset_election(now);
+        if !self.membership().voters.contains(&self.id) {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes = [self.id].into();
+        if self.has_won() {
+            self.start_vote(now);
+            return;
+        }
+        let (last, last_term) = (self.log.last(), self.log.last_term());
+        let term = Term(self.state.term.0 + 1);
+        self.ask_voters(term, &Body::PreVote { last, last_term });
+    }
+
+    fn start_vote(&mut self, now: Duration) {
+        self.reset_election(now);
+        self.role = Role::Candidate;
+        self.state.term = Term(self.state.term.0 + 1);
+        self.state.vote = Some(self.id);
+        self.votes = [self.id].into();
+        if self.has_won() {
+            self.become_leader(now);
+            return;
+        }
+        let (last, last_term) = (self.log.last(), self.log.last_term());
+        self.ask_voters(self.state.term, &Body::Vote { last, last_term });
+    }
+
+    fn ask_voters(&mut self, term: Term, body: &Body) {
+        let own = self.id;
+        let voters: Vec<_> = self.membership().voters.iter().copied().collect();
+        for id in voters.into_iter().filter(|id| *id != own) {
+            self.send(id, term, body.clone());
+        }
+    }
+
+    pub(crate) fn answer_pre_vote(
+        &mut self,
+        from: MemberId,
+        term: Term,
+        last: Index,
+        last_term: Term,
+    ) {
+        let granted = term > self.state.term && self.is_current(last, last_term);
+        let term = if granted { term } else { self.state.term };
+        self.send(from, term, Body::PreVoteReply { granted });
+    }
+
+    pub(crate) fn answer_vote(
+        &mut self,
+        from: MemberId,
+        term: Term,
+        last: Index,
+        last_term: Term,
+        now: Duration,
+    ) {
+        let free = self.state.vote.is_none_or(|vote| vote == from);
+        let granted = term == self.state.term && free && self.is_current(last, last_term);
+        if granted {
+            self.state.vote = Some(from);
+            self.reset_election(now);
+        }
+        self.send(from, self.state.term, Body::VoteReply { granted });
+    }
+
+    pub(crate) fn count_pre_vote(
+        &mut self,
+        from: MemberId,
+        term: Term,
+        granted: bool,
+        now: Duration,
+    ) {
+        let asked = Term(self.state.term.0 + 1);
+        if self.role != Role::PreCandidate || !granted || term != asked {
+            return;
+        }
+        self.votes.insert(from);
+        if self.has_won() {
+            self.start_vote(now);
+        }
+    }
+
+    pub(crate) fn count_vote(&mut self, from: MemberId, term: Term, granted: bool, now: Duration) {
+        if self.role != Role::Candidate || !granted || term != self.state.term {
+            return;
+        }
+        self.votes.insert(from);
+        if self.has_won() {
+            self.become_leader(now);
+        }
+    }
+
+    fn become_leader(&mut self, now: Duration) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        self.heard = now;
+        self.progress.clear();
+        self.term_start = self.push(Payload::Empty);
+        self.track_members();
+        self.heartbeat_at = now + self.timing.heartbeat;
+        self.replicate(now);
+        self.advance_commit(now);
+    }
+
+    /// Keeps track of exactly the other members.
+    pub(crate) fn track_members(&mut self) {
+        let next = self.log.last();
+        let others: Vec<_> = self.membership().others(self.id).collect();
+        self.progress.retain(|id, _| others.contains(id));
+        for id in others {
+            self.progress.entry(id).or_insert(Progress { next, ..Progress::default() });
+        }
+    }
+
+    fn has_won(&self) -> bool {
+        let membership = self.membership();
+        let votes = self.votes.iter().filter(|id| membership.voters.contains(id));
+        votes.count() >= membership.quorum()
+    }
+
+    fn is_current(&self, last: Index, last_term: Term) -> bool {
+        (last_term, last) >= (self.log.last_term(), self.log.last())
+    }
+}
--- /dev/null
+++ b/crates/egret_consensus/src/log.rs
@@ -0,0 +1,128 @@
+//! The log after the last snapshot.
+
+use std::collections::VecDeque;
+
+use crate::types::{Index, LogEntry, Membership, Payload, Snapshot, Term};
+
+/// The log after the last snapshot, with the snapshot itself.
+#[derive(Debug, Clone, Default)]
+pub struct Log {
+    snapshot: Snapshot,
+    entries: VecDeque<LogEntry>,
+}
+
+impl Log {
+    /// Builds a log from what was on disk.
+    #[must_use]
+    pub fn new(snapshot: Snapshot, entries: Vec<LogEntry>) -> Self {
+        let first = snapshot.index;
+        Self {
+            entries: entries.into_iter().filter(|entry| entry.index > first).collect(),
+            snapshot,
+        }
+    }
+
+    /// Returns the snapshot.
+    #[must_use]
+    pub const fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// Returns the last index.
+    #[must_use]
+    pub fn last(&self) -> Index {
+        self.entries.back().map_or(self.snapshot.index, |entry| entry.index)
+    }
+
+    /// Returns the term of the last index.
+    #[must_use]
+    pub fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.snapshot.term, |entry| entry.term)
+    }
+
+    /// Returns the term of an index, if it is still known.
+    #[must_use]
+    pub fn term(&self, index: Index) -> Option<Term> {
+        if index == self.snapshot.index {
+            return Some(self.snapshot.term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// Returns one entry.
+    #[must_use]
+    pub fn get(&self, index: Index) -> Option<&LogEntry> {
+        self.entries.get(self.offset(index)?)
+    }
+
+    /// Iterates over the entries after `index`, up to the last.
+    pub fn after(&self, index: Index) -> impl Iterator<Item = &LogEntry> {
+        let skip = self.offset(index.next()).unwrap_or(0);
+        self.entries.iter().skip(skip)
+    }
+
+    /// Returns the latest membership, in force or in the snapshot.
+    #[must_use]
+    pub fn membership(&self) -> (Index, &Membership) {
+        let found = self.entries.iter().rev().find_map(|entry| match &entry.payload {
+            Payload::Membership(membership) => Some((entry.index, membership)),
+            _ => None,
+        });
+        found.unwrap_or((self.snapshot.index, &self.snapshot.membership))
+    }
+
+    /// Returns the membership that was in force at `index`.
+    #[must_use]
+    pub fn membership_at(&self, index: Index) -> &Membership {
+        let found = self.entries.iter().rev().filter(|entry| entry.index <= index);
+        found
+            .filter_map(|entry| match &entry.payload {
+                Payload::Membership(membership) => Some(membership),
+                _ => None,
+            })
+            .next()
+            .unwrap_or(&self.snapshot.membership)
+    }
+
+    /// Returns the number of entries after the snapshot.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether there is no entry after the snapshot.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Adds an entry at the end.
+    pub(crate) fn push(&mut self, entry: LogEntry) {
+        debug_assert_eq!(entry.index, self.last().next());
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entries from `index` on.
+    pub(crate) fn truncate(&mut self, index: Index) {
+        if let Some(offset) = self.offset(index) {
+            self.entries.truncate(offset);
+        }
+    }
+
+    /// Puts a snapshot in place of the entries that it covers.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot) {
+        if self.term(snapshot.index) == Some(snapshot.term) {
+            while self.entries.front().is_some_and(|entry| entry.index <= snapshot.index) {
+                self.entries.pop_front();
+            }
+        } else {
+            self.entries.clear();
+        }
+        self.snapshot = snapshot;
+    }
+
+    fn offset(&self, index: Index) -> Option<usize> {
+        let first = self.snapshot.index.next();
+        usize::try_from(index.0.checked_sub(first.0)?).ok()
+    }
+}
--- /dev/null
+++ b/crates/egret_consensus/tests/cluster.rs
@@ -0,0 +1,397 @@
+//! A whole cluster of nodes under kills, cuts, lost disks and member changes.
+//!
+//! Each run follows from its seed. The history is the sequence of applied
+//! entries, leaders and leases that the nodes show; the checker looks at it
+//! after every step. Tests named `guard_off_*` switch one guard off and demand
+//! that the checker reports the violation.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use egret_consensus::{
+    Envelope, HardState, Index, LogEntry, Member, Membership, Node, Payload, Persisted, Role,
+    Snapshot, Term, Timing,
+};
+use egret_record::MemberId;
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+
+const STEP: Duration = Duration::from_millis(5);
+
+/// Which guards are off in a run.
+#[derive(Debug, Clone, Copy, Default)]
+struct Guards {
+    forget_votes: bool,
+    long_lease: bool,
+    reuse_identity: bool,
+    forget_entries: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Disk {
+    hard: HardState,
+    snapshot: Snapshot,
+    entries: Vec<LogEntry>,
+}
+
+#[derive(Debug)]
+struct Instance {
+    node: Option<Node>,
+    disk: Disk,
+    /// How far this instance's clock is from the run's.
+    offset: Duration,
+    frozen_until: Duration,
+}
+
+#[derive(Debug)]
+struct Run {
+    random: SmallRng,
+    now: Duration,
+    guards: Guards,
+    timing: Timing,
+    instances: BTreeMap<MemberId, Instance>,
+    network: Vec<(Duration, Envelope)>,
+    cuts: BTreeSet<(MemberId, MemberId)>,
+    applied: BTreeMap<Index, LogEntry>,
+    leaders: BTreeMap<Term, MemberId>,
+    next_id: u64,
+    proposed: u64,
+    violations: Vec<String>,
+}
+
+impl Run {
+    fn new(seed: u64, voters: u64, guards: Guards) -> Self {
+        let mut timing = Timing::of_election(Duration::from_millis(100));
+        if guards.long_lease {
+            timing.lease = timing.election * 20;
+        }
+        let membership = Membership::of_voters(
+            (1..=voters).map(|id| (MemberId(id), Member::new(&format!("m{id}"), "-"))),
+        );
+        let mut run = Self {
+            random: SmallRng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            guards,
+            timing,
+            instances: BTreeMap::new(),
+            network: Vec::new(),
+            cuts: BTreeSet::new(),
+            applied: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            next_id: voters + 1,
+            proposed: 0,
+            violations: Vec::new(),
+        };
+        for id in 1..=voters {
+            let first = Persisted::first(membership.clone());
+            let disk = Disk { snapshot: first.snapshot, ..Disk::default() };
+            run.add_instance(MemberId(id), disk);
+        }
+        run
+    }
+
+    fn add_instance(&mut self, id: MemberId, disk: Disk) {
+        let offset = Duration::from_millis(self.random.random_range(0..10_000));
+        self.instances
+            .insert(id, Instance { node: None, disk, offset, frozen_until: Duration::ZERO });
+        self.start(id);
+    }
+
+    fn start(&mut self, id: MemberId) {
+        let seed = self.random.random();
+        let Some(instance) = self.instances.get_mut(&id) else { return };
+        let persisted = Persisted {
+            hard_state: instance.disk.hard,
+            snapshot: instance.disk.snapshot.clone(),
+            entries: instance.disk.entries.clone(),
+        };
+        let now = self.now + instance.offset;
+        instance.node = Some(Node::new(id, persisted, self.timing, seed, now));
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        let ids: Vec<_> = self.instances.keys().copied().collect();
+        for id in ids {
+            self.drive(id, |node, now| node.tick(now));
+        }
+        self.check_leases();
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) =
+            std::mem::take(&mut self.network).into_iter().partition(|(at, _)| *at <= now);
+        self.network = later;
+        let due: Vec<(Duration, Envelope)> = due;
+        for (_, message) in due {
+            let to = message.to;
+            self.drive(to, |node, now| node.receive(message.clone(), now));
+        }
+    }
+
+    fn drive(&mut self, id: MemberId, act: impl FnOnce(&mut Node, Duration)) {
+        let Some(instance) = self.instances.get_mut(&id) else { return };
+        if self.now < instance.frozen_until {
+            return;
+        }
+        let Some(node) = instance.node.as_mut() else { return };
+        act(node, self.now + instance.offset);
+        let ready = node.ready();
+        let disk = &mut instance.disk;
+        if let Some(hard) = ready.hard_state.filter(|_| !self.guards.forget_votes) {
+            disk.hard = hard;
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            disk.snapshot = snapshot.clone();
+            disk.entries.clear();
+        }
+        if let Some(first) = ready.entries.first().filter(|_| !self.guards.forget_entries) {
+            disk.entries.retain(|entry| entry.index < first.index);
+            disk.entries.extend(ready.entries.iter().cloned());
+        }
+        if node.role() == Role::Leader {
+            let known = *self.leaders.entry(node.term()).or_insert(id);
+            if known != id {
+                self.violations.push(format!("{:?} has two leaders", node.term()));
+            }
+        }
+        for entry in &ready.committed {
+            let known = self.applied.entry(entry.index).or_insert_with(|| entry.clone());
+            if known != entry {
+                self.violations.push(format!("{:?} was applied with two values", entry.index));
+            }
+        }
+        for message in ready.messages {
+            let cut = self.cuts.contains(&(message.from, message.to));
+            if !cut && self.random.random_range(0..100) >= 3 {
+                let delay = Duration::from_millis(self.random.random_range(1..20));
+                self.network.push((self.now + delay, message));
+            }
+        }
+    }
+
+    fn check_leases(&mut self) {
+        let holders: Vec<_> = self
+            .instances
+            .iter()
+            .filter(|(_, instance)| {
+                let now = self.now + instance.offset;
+                instance.node.as_ref().is_some_and(|node| node.holds_lease(now))
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        if holders.len() > 1 {
+            self.violations.push(format!("{holders:?} hold the leader's lease at once"));
+        }
+    }
+
+    fn some_id(&mut self) -> MemberId {
+        let at = self.random.random_range(0..self.instances.len());
+        *self.instances.keys().nth(at).expect("the run has instances")
+    }
+
+    fn leader(&self) -> Option<MemberId> {
+        let leaders = self
+            .instances
+            .iter()
+            .filter(|(_, i)| i.node.as_ref().is_some_and(|node| node.role() == Role::Leader));
+        leaders.max_by_key(|(_, i)| i.node.as_ref().map(Node::term)).map(|(id, _)| *id)
+    }
+
+    fn propose(&mut self) {
+        let Some(leader) = self.leader() else { return };
+        self.proposed += 1;
+        let payload = Payload::Command(self.proposed.to_le_bytes().to_vec());
+        self.drive(leader, |node, now| {
+            let _ = node.propose(payload, now);
+        });
+    }
+
+    fn change_members(&mut self) {
+        let Some(leader) = self.leader() else { return };
+        let Some(node) = self.instances[&leader].node.as_ref() else { return };
+        let membership = node.membership().clone();
+        let next = if let Some(id) = node.promotable().first() {
+            membership.with_promoted(*id)
+        } else if membership.voters.len() > 3 {
+            let at = self.random.random_range(0..membership.voters.len());
+            membership.without(*membership.voters.iter().nth(at).expect("voters"))
+        } else if membership.learners.is_empty() {
+            let id = MemberId(self.next_id);
+            self.next_id += 1;
+            // A joiner knows the cluster it asked to join, and nothing else.
+            let empty = Membership { cluster: membership.cluster, ..Membership::default() };
+            let first = Persisted::first(empty);
+            self.add_instance(id, Disk { snapshot: first.snapshot, ..Disk::default() });
+            membership.with_learner(id, Member::new("joiner", "-"))
+        } else {
+            return;
+        };
+        self.drive(leader, |node, now| {
+            let _ = node.propose(Payload::Membership(next), now);
+        });
+    }
+
+    fn lose_disk(&mut self) {
+        if !self.guards.reuse_identity {
+            return;
+        }
+        let id = self.some_id();
+        let membership = match self.instances[&id].node.as_ref() {
+            Some(node) => node.membership().clone(),
+            None => return,
+        };
+        if let Some(instance) = self.instances.get_mut(&id) {
+            instance.disk =
+                Disk { snapshot: Persisted::first(membership).snapshot, ..Disk::default() };
+        }
+        self.start(id);
+    }
+
+    fn compact(&mut self) {
+        let id = self.some_id();
+        let Some(instance) = self.instances.get_mut(&id) else { return };
+        let Some(node) = instance.node.as_mut() else { return };
+        let index = node.commit();
+        if let Some(snapshot) = node.compact(index, Vec::new()) {
+            instance.disk.entries.retain(|entry| entry.index > snapshot.index);
+            instance.disk.snapshot = snapshot;
+        }
+    }
+
+    fn disturb(&mut self) {
+        let id = self.some_id();
+        match self.random.random_range(0..12) {
+            0 => {
+                if let Some(instance) = self.instances.get_mut(&id) {
+                    instance.node = None;
+                }
+            }
+            1..=3 => {
+                let down: Vec<_> = self
+                    .instances
+                    .iter()
+                    .filter(|(_, i)| i.node.is_none())
+                    .map(|(id, _)| *id)
+                    .collect();
+                down.into_iter().for_each(|id| self.start(id));
+            }
+            4 => {
+                let other = self.some_id();
+                self.cuts.insert((id, other));
+                if self.random.random() {
+                    self.cuts.insert((other, id));
+                }
+            }
+            5 => {
+                let others: Vec<_> = self.instances.keys().copied().collect();
+                for other in others {
+                    self.cuts.insert((id, other));
+                    self.cuts.insert((other, id));
+                }
+            }
+            6..=7 => self.cuts.clear(),
+            8 => {
+                let pause = Duration::from_millis(self.random.random_range(10..600));
+                let until = self.now + pause;
+                if let Some(instance) = self.instances.get_mut(&id) {
+                    instance.frozen_until = until;
+                }
+            }
+            9 => self.change_members(),
+            10 => self.compact(),
+            _ => self.lose_disk(),
+        }
+    }
+
+    fn heal(&mut self) {
+        self.cuts.clear();
+        let down: Vec<_> =
+            self.instances.iter().filter(|(_, i)| i.node.is_none()).map(|(id, _)| *id).collect();
+        down.into_iter().for_each(|id| self.start(id));
+    }
+}
+
+fn run(seed: u64, steps: u32, guards: Guards) -> Run {
+    let voters = [3, 5][usize::from(seed % 2 == 1)];
+    let mut run = Run::new(seed, voters, guards);
+    for _ in 0..steps {
+        run.step();
+        if run.random.random_range(0..10) == 0 {
+            run.propose();
+        }
+        if run.random.random_range(0..15) == 0 {
+            run.disturb();
+        }
+    }
+    run
+}
+
+fn seeds() -> u64 {
+    std::env::var("EGRET_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(2_000)
+}
+
+#[test]
+fn agreement_holds_under_failure() {
+    let seeds = seeds();
+    let mut committed = 0;
+    for seed in 0..seeds {
+        let run = run(seed, 400, Guards::default());
+        assert!(run.violations.is_empty(), "seed {seed}: {:?}", run.violations);
+        committed += run.applied.len();
+    }
+    println!("seeds=0..{seeds} committed={committed}");
+    assert!(committed as u64 > seeds * 5, "the runs must commit something to prove anything");
+}
+
+#[test]
+fn cluster_recovers_once_healed() {
+    for seed in 0..300 {
+        let mut run = run(seed, 300, Guards::default());
+        run.heal();
+        (0..600).for_each(|_| run.step());
+        let before = run.applied.len();
+        run.propose();
+        (0..200).for_each(|_| run.step());
+        assert!(run.violations.is_empty(), "seed {seed}: {:?}", run.violations);
+        assert!(run.applied.len() > before, "seed {seed}: nothing commits after the repair");
+    }
+}
+
+fn first_violation(guards: Guards) -> Option<(u64, String)> {
+    (0..3_000).find_map(|seed| {
+        let run = run(seed, 400, guards);
+        run.violations.into_iter().next().map(|violation| (seed, violation))
+    })
+}
+
+#[test]
+fn guard_off_votes_are_not_kept() {
+    let found = first_violation(Guards { forget_votes: true, ..Guards::default() });
+    println!("found={found:?}");
+    assert!(found.is_some(), "the checker must notice forgotten votes");
+}
+
+#[test]
+fn guard_off_entries_are_not_kept() {
+    let found = first_violation(Guards { forget_entries: true, ..Guards::default() });
+    println!("found={found:?}");
+    assert!(found.is_some(), "the checker must notice forgotten entries");
+}
+
+#[test]
+fn guard_off_lease_outlasts_the_refusal_of_votes() {
+    let found = first_violation(Guards { long_lease: true, ..Guards::default() });
+    println!("found={found:?}");
+    assert!(found.is_some(), "the checker must notice two leases at once");
+}
+
+#[test]
+fn guard_off_lost_disk_keeps_its_identity() {
+    let found = first_violation(Guards { reuse_identity: true, ..Guards::default() });
+    println!("found={found:?}");
+    assert!(found.is_some(), "the checker must notice a vote under an old identity");
+}
--- /dev/null
+++ b/crates/egret_record/src/lib.rs
@@ -0,0 +1,57 @@
+//! Records, identities and the view that control state shares with its holders.
+//!
+//! Operators drive the system only by records. This crate decodes both schemas
+//! of a record, checks them, and defines the shared [`View`]: what every entry
+//! and agent knows of records, data centres and backend servers at a revision.
+//!
+//! - [`name`]: identities, as distinct types.
+//! - [`digest`]: digests that name content.
+//! - [`record`]: a record in its normal form, whatever its schema.
+//! - [`schema`]: the two schemas that operators write.
+//! - [`view`]: the shared view and the changes between its revisions.
+//!
+//! ```
+//! let text = "
+//! schema: 1
+//! name: register
+//! service: register
+//! path: /register
+//! calls: [{ method: POST, path: /register/orders, once: true }]
+//! ";
+//! let record = egret_record::parse_record("register.yaml", text)?;
+//! assert_eq!(record.name.as_str(), "register");
+//! # Ok::<(), Box<egret_settings::DocumentError>>(())
+//! ```
+
+mod digest;
+mod name;
+mod record;
+mod schema;
+mod view;
+
+pub use digest::{ParseDigestError, VersionDigest};
+pub use name::{
+    BackendName, DataCentre, EntryName, Fence, IdempotencyKey, MemberId, NameError, OperationId,
+    Organisation, RecordName, Revision, SessionId,
+};
+pub use record::{
+    CallRule, ModelTarget, Objective, Placement, Priority, Record, ServiceTarget, Target, Weight,
+    has_prefix,
+};
+pub use schema::parse_record;
+pub use view::{
+    Assignment, Backend, BackendRole, Change, Delta, Entry, Phase, StoredRecord, View, ViewError,
+};
+
+/// A hash map with a fast hasher.
+pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
+/// A hash set with a fast hasher.
+pub type FastSet<K> = rustc_hash::FxHashSet<K>;
+
+/// Imports the identities and the view.
+pub mod prelude {
+    pub use crate::{
+        BackendName, DataCentre, EntryName, FastMap, FastSet, Fence, Record, RecordName, Revision,
+        SessionId, VersionDigest, View,
+    };
+}
--- /dev/null
+++ b/crates/egret_settings/src/lib.rs
@@ -0,0 +1,36 @@
+//! Settings files, checked whole before a program starts.
+//!
+//! Nobody is on hand to nurse a program that starts with half of its settings,
+//! so a file is read, decoded and checked before anything else happens, and
+//! each fault names the file, the line and the remedy.
+//!
+//! - [`document`]: decodes one YAML document and renders its faults.
+//! - [`programs`]: the settings of each program.
+//!
+//! ```
+//! use egret_settings::{EntrySettings, Settings, parse};
+//!
+//! let text = "
+//! name: entry-1
+//! data_centre: xela
+//! listen: 127.0.0.1:8080
+//! control: [127.0.0.1:7000]
+//! ";
+//! let settings: EntrySettings = parse("entry.yaml", text)?;
+//! assert_eq!(settings.data_centre, "xela");
+//! # Ok::<(), Box<egret_settings::DocumentError>>(())
+//! ```
+
+mod document;
+mod programs;
+
+pub use document::{DocumentError, Problem, decode, reject};
+pub use programs::{
+    AgentSettings, BackendKind, BackendSettings, ControlSettings, EntrySettings, LinkSettings,
+    PeerSettings, Settings, load, parse,
+};
+
+/// Imports what most programs need to read their settings.
+pub mod prelude {
+    pub use crate::{AgentSettings, ControlSettings, DocumentError, EntrySettings, Settings, load};
+}
--- /dev/null
+++ b/crates/egret_settings/src/programs.rs
@@ -0,0 +1,363 @@
+//! The settings of each program.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use serde::{Deserialize, de::DeserializeOwned};
+
+use crate::document::{DocumentError, Problem, decode, reject};
+
+/// Settings that one program reads from its file.
+pub trait Settings: DeserializeOwned {
+    /// Lists the values that cannot work together or on this instance.
+    fn problems(&self) -> Vec<Problem>;
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns a [`DocumentError`] when the file cannot be read, decoded or used.
+pub fn load<S: Settings>(path: &Path) -> Result<S, Box<DocumentError>> {
+    let name = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => parse(&name, &text),
+        Err(error) => {
+            let problem = Problem::new(
+                "",
+                format!("cannot be read: {error}"),
+                "give the path of a readable settings file with --config",
+            );
+            reject(&name, "", vec![problem])?;
+            unreachable!("a problem was given")
+        }
+    }
+}
+
+/// Decodes and checks settings from text.
+///
+/// # Errors
+///
+/// Returns a [`DocumentError`] when the text cannot be decoded or used.
+pub fn parse<S: Settings>(name: &str, text: &str) -> Result<S, Box<DocumentError>> {
+    let settings: S = decode(name, text)?;
+    reject(name, text, settings.problems())?;
+    Ok(settings)
+}
+
+/// Another control instance.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Its name.
+    pub name: String,
+    /// Its address for the system's own protocol.
+    pub address: SocketAddr,
+}
+
+/// Settings of `egret-control`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// The name of this control instance.
+    pub name: String,
+    /// The data centre it runs in.
+    pub data_centre: String,
+    /// Address for the system's own protocol.
+    pub listen: SocketAddr,
+    /// Address for metrics over HTTP.
+    pub metrics: Option<SocketAddr>,
+    /// The folder that holds everything this instance keeps.
+    pub data_folder: PathBuf,
+    /// All the control instances, this one included.
+    pub peers: Vec<PeerSettings>,
+    /// How long an entry or agent may act on what it last confirmed, in milliseconds.
+    #[serde(default = "default_lease_ms")]
+    pub lease_ms: u64,
+    /// Shortest time without a leader before an election, in milliseconds.
+    #[serde(default = "default_election_ms")]
+    pub election_ms: u64,
+    /// Log entries after which a snapshot replaces them.
+    #[serde(default = "default_snapshot_entries")]
+    pub snapshot_entries: u64,
+}
+
+/// Settings of `egret-entry`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The name of this entry.
+    pub name: String,
+    /// The data centre it runs in.
+    pub data_centre: String,
+    /// Address for callers and operators.
+    pub listen: SocketAddr,
+    /// Address for metrics over HTTP.
+    pub metrics: Option<SocketAddr>,
+    /// The control instances.
+    pub control: Vec<SocketAddr>,
+    /// Key that operators must send; without it anyone may administer.
+    pub admin_key: Option<String>,
+    /// How long a caller may keep an answer about entries, in seconds.
+    #[serde(default = "default_keep_s")]
+    pub keep_s: u64,
+    /// Longest time that one request may take, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
+    /// Largest request body, in bytes.
+    #[serde(default = "default_body_bytes")]
+    pub body_bytes: u64,
+    /// Extra tries per hundred requests.
+    #[serde(default = "default_retry_percent")]
+    pub retry_percent: u32,
+}
+
+/// What kind of backend server an agent stands before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BackendKind {
+    /// A model engine, which loads weights.
+    Model,
+    /// A plain service.
+    Service,
+}
+
+/// The backend server of an agent.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendSettings {
+    /// What kind it is.
+    pub kind: BackendKind,
+    /// The service it offers; for plain services only.
+    pub service: Option<String>,
+    /// Its HTTP address.
+    pub address: SocketAddr,
+    /// Requests that it bears at once when warm.
+    pub limit: u32,
+    /// Whether it refuses orders with an old fencing number.
+    #[serde(default)]
+    pub fencing: bool,
+}
+
+/// Shares of the links that weight transfers may use.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkSettings {
+    /// Upload to other agents, in bytes a second.
+    pub upload_bytes: Option<u64>,
+    /// Download from any source, in bytes a second.
+    pub download_bytes: Option<u64>,
+}
+
+/// Settings of `egret-agent`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// The name of the backend server that this agent announces.
+    pub name: String,
+    /// The data centre it runs in.
+    pub data_centre: String,
+    /// Address for requests from entries.
+    pub listen: SocketAddr,
+    /// Address for the system's own protocol, which serves weights to agents.
+    pub peer_listen: SocketAddr,
+    /// Address for metrics over HTTP.
+    pub metrics: Option<SocketAddr>,
+    /// The control instances.
+    pub control: Vec<SocketAddr>,
+    /// The folder that holds weights.
+    pub data_folder: PathBuf,
+    /// Largest space for weights, in bytes.
+    #[serde(default = "default_disk_bytes")]
+    pub disk_bytes: u64,
+    /// The backend server behind this agent.
+    pub backend: BackendSettings,
+    /// Shares of the links for weights.
+    pub links: Option<LinkSettings>,
+}
+
+const fn default_lease_ms() -> u64 {
+    2_000
+}
+const fn default_election_ms() -> u64 {
+    400
+}
+const fn default_snapshot_entries() -> u64 {
+    2_000
+}
+const fn default_keep_s() -> u64 {
+    2
+}
+const fn default_deadline_ms() -> u64 {
+    60_000
+}
+const fn default_body_bytes() -> u64 {
+    8 * 1024 * 1024
+}
+const fn default_retry_percent() -> u32 {
+    20
+}
+const fn default_disk_bytes() -> u64 {
+    64 * 1024 * 1024 * 1024
+}
+
+impl Settings for ControlSettings {
+    fn problems(&self) -> Vec<Problem> {
+        let mut problems = name_problems(&self.name, &self.data_centre);
+        let own = self.peers.iter().any(|peer| peer.name == self.name);
+        if !own {
+            problems.push(Problem::new(
+                "peers",
+                format!("`peers` does not list this instance, {:?}", self.name),
+                "list every control instance under `peers`, this one included",
+            ));
+        }
+        let repeated = self.peers.iter().enumerate().find(|(at, peer)| {
+            self.peers[..*at]
+                .iter()
+                .any(|other| other.name == peer.name || other.address == peer.address)
+        });
+        if let Some((_, peer)) = repeated {
+            problems.push(Problem::new(
+                "peers",
+                format!("`peers` lists {:?} or its address twice", peer.name),
+                "give each control instance its own name and address",
+            ));
+        }
+        if !(50..=60_000).contains(&self.election_ms) {
+            problems.push(Problem::new(
+                "election_ms",
+                format!("`election_ms` is {}, outside 50 to 60000", self.election_ms),
+                "choose at least ten times the one-way delay between the control instances",
+            ));
+        }
+        if self.lease_ms < self.election_ms {
+            problems.push(Problem::new(
+                "lease_ms",
+                format!("`lease_ms` {} is below `election_ms` {}", self.lease_ms, self.election_ms),
+                "raise `lease_ms` so that a change of leader does not cost every lease",
+            ));
+        }
+        if self.snapshot_entries == 0 {
+            problems.push(Problem::new(
+                "snapshot_entries",
+                "`snapshot_entries` is 0",
+                "give at least 1; 2000 suits small deployments",
+            ));
+        }
+        problems.extend(folder_problem(&self.data_folder));
+        problems
+    }
+}
+
+impl Settings for EntrySettings {
+    fn problems(&self) -> Vec<Problem> {
+        let mut problems = name_problems(&self.name, &self.data_centre);
+        problems.extend(control_problem(&self.control));
+        problems.extend(advertised_problem("listen", self.listen));
+        if self.deadline_ms == 0 {
+            problems.push(Problem::new(
+                "deadline_ms",
+                "`deadline_ms` is 0, so no request could be answered",
+                "give the longest time that a request may take, such as 60000",
+            ));
+        }
+        if self.retry_percent > 100 {
+            problems.push(Problem::new(
+                "retry_percent",
+                format!("`retry_percent` is {}, above 100", self.retry_percent),
+                "give 0 to 100; 20 allows one extra try for five requests",
+            ));
+        }
+        if self.admin_key.as_deref().is_some_and(|key| key.len() < 16) {
+            problems.push(Problem::new(
+                "admin_key",
+                "`admin_key` is shorter than 16 characters",
+                "give a longer random key, or remove it to leave administration open",
+            ));
+        }
+        problems
+    }
+}
+
+impl Settings for AgentSettings {
+    fn problems(&self) -> Vec<Problem> {
+        let mut problems = name_problems(&self.name, &self.data_centre);
+        problems.extend(control_problem(&self.control));
+        problems.extend(advertised_problem("listen", self.listen));
+        problems.extend(advertised_problem("peer_listen", self.peer_listen));
+        if self.backend.limit == 0 {
+            problems.push(Problem::new(
+                "limit",
+                "`backend.limit` is 0, so the backend server would get no request",
+                "give the number of requests that it bears at once",
+            ));
+        }
+        match (self.backend.kind, &self.backend.service) {
+            (BackendKind::Service, None) => problems.push(Problem::new(
+                "kind",
+                "a backend server of kind `service` names no service",
+                "add `service:` with the name that records use",
+            )),
+            (BackendKind::Model, Some(_)) => problems.push(Problem::new(
+                "service",
+                "a model engine cannot name a `service`",
+                "remove `service`, or set `kind: service`",
+            )),
+            _ => {}
+        }
+        problems.extend(folder_problem(&self.data_folder));
+        problems
+    }
+}
+
+fn name_problems(name: &str, data_centre: &str) -> Vec<Problem> {
+    [("name", name), ("data_centre", data_centre)]
+        .into_iter()
+        .filter(|(_, value)| !is_name(value))
+        .map(|(key, value)| {
+            Problem::new(
+                key,
+                format!("`{key}` {value:?} is not a name"),
+                "use 1 to 63 lower-case letters, digits and hyphens",
+            )
+        })
+        .collect()
+}
+
+fn is_name(value: &str) -> bool {
+    (1..=63).contains(&value.len())
+        && value.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-')
+}
+
+fn control_problem(control: &[SocketAddr]) -> Option<Problem> {
+    control.is_empty().then(|| {
+        Problem::new(
+            "control",
+            "`control` lists no address",
+            "list the addresses of the control instances",
+        )
+    })
+}
+
+fn advertised_problem(key: &'static str, address: SocketAddr) -> Option<Problem> {
+    address.ip().is_unspecified().then(|| {
+        Problem::new(
+            key,
+            format!("`{key}` {address} is no address that others can connect to"),
+            "give the instance's own address, which is announced to the others",
+        )
+    })
+}
+
+fn folder_problem(folder: &Path) -> Option<Problem> {
+    (!folder.is_dir()).then(|| {
+        Problem::new(
+            "data_folder",
+            format!("`data_folder` {} is not a folder", folder.display()),
+            "create the folder on the instance's disk, or correct the path",
+        )
+    })
+}
--- /dev/null
+++ b/crates/egret_store/src/frame.rs
@@ -0,0 +1,66 @@
+//! Checksummed frames: magic, length, checksum, content.
+
+/// Marks the start of a frame.
+const MAGIC: [u8; 4] = *b"EGF1";
+/// Bytes of the checksum.
+const CHECKSUM_BYTES: usize = 16;
+/// Bytes before the content.
+const HEADER_BYTES: usize = MAGIC.len() + 4 + CHECKSUM_BYTES;
+
+/// What stands at a place of a file.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Found<'a> {
+    /// An intact frame, and where the next one starts.
+    Frame { content: &'a [u8], next: usize },
+    /// The end.
+    End,
+    /// A torn or damaged frame.
+    Bad,
+}
+
+/// Wraps content into a frame.
+pub(crate) fn encode(content: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(content.len()).unwrap_or(u32::MAX);
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + content.len());
+    bytes.extend(MAGIC);
+    bytes.extend(length.to_le_bytes());
+    bytes.extend(checksum(content));
+    bytes.extend(content);
+    bytes
+}
+
+/// Reads what stands at `offset`.
+pub(crate) fn decode(bytes: &[u8], offset: usize) -> Found<'_> {
+    let Some(rest) = bytes.get(offset..).filter(|rest| !rest.is_empty()) else {
+        return Found::End;
+    };
+    let Some((header, content)) = rest.split_at_checked(HEADER_BYTES) else {
+        return Found::Bad;
+    };
+    let (magic, header) = header.split_at(MAGIC.len());
+    let (length, sum) = header.split_at(4);
+    let length = length.try_into().map_or(0, u32::from_le_bytes) as usize;
+    match content.get(..length) {
+        Some(content) if magic == MAGIC && sum == checksum(content) => {
+            Found::Frame { content, next: offset + HEADER_BYTES + length }
+        }
+        _ => Found::Bad,
+    }
+}
+
+/// Tells whether an intact frame starts anywhere after `offset`.
+pub(crate) fn any_after(bytes: &[u8], offset: usize) -> bool {
+    let Some(rest) = bytes.get(offset + 1..) else {
+        return false;
+    };
+    rest.windows(MAGIC.len())
+        .enumerate()
+        .filter(|(_, window)| *window == MAGIC)
+        .any(|(at, _)| matches!(decode(bytes, offset + 1 + at), Found::Frame { .. }))
+}
+
+fn checksum(content: &[u8]) -> [u8; CHECKSUM_BYTES] {
+    let mut sum = [0; CHECKSUM_BYTES];
+    sum.copy_from_slice(&blake3::hash(content).as_bytes()[..CHECKSUM_BYTES]);
+    sum
+}
--- /dev/null
+++ b/crates/egret_store/src/journal.rs
@@ -0,0 +1,196 @@
+//! Snapshot and log of a member.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Write as _},
+    path::{Path, PathBuf},
+};
+
+use egret_consensus::{HardState, LogEntry, Persisted, Snapshot};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    folder::{StoreError, replace_file},
+    frame::{self, Found},
+};
+
+const LOG_FILE: &str = "log";
+const SNAPSHOT_FILE: &str = "snapshot";
+
+/// What one append adds; entries replace all at and after the first one's index.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Batch {
+    hard_state: Option<HardState>,
+    entries: Vec<LogEntry>,
+}
+
+/// Snapshot and log of a member, in its data folder.
+#[derive(Debug)]
+pub struct Journal {
+    folder: PathBuf,
+    log: File,
+    log_bytes: u64,
+}
+
+impl Journal {
+    /// Tells whether the folder holds a journal.
+    #[must_use]
+    pub fn exists(folder: &Path) -> bool {
+        folder.join(LOG_FILE).exists() || folder.join(SNAPSHOT_FILE).exists()
+    }
+
+    /// Opens the journal and reads what it holds; none when there is no journal yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when a file is damaged before its last frame,
+    /// or cannot be read.
+    pub fn open(folder: &Path) -> Result<Option<(Self, Persisted)>, StoreError> {
+        let Some(snapshot) = read_snapshot(folder)? else {
+            return Ok(None);
+        };
+        let (hard_state, entries, length) = read_log(folder)?;
+        let entries = entries.into_iter().filter(|entry| entry.index > snapshot.index).collect();
+        let journal = Self::append_to(folder, length)?;
+        Ok(Some((journal, Persisted { hard_state, snapshot, entries })))
+    }
+
+    /// Creates the journal of a member that starts from `persisted`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when a file cannot be written.
+    pub fn create(folder: &Path, persisted: &Persisted) -> Result<Self, StoreError> {
+        // The snapshot comes last: it is what makes the folder a journal.
+        write_log(folder, persisted.hard_state, &persisted.entries)?;
+        write_snapshot(folder, &persisted.snapshot)?;
+        Self::append_to(folder, log_length(folder)?)
+    }
+
+    /// Adds entries and, if it changed, term and vote; returns once they are synced.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the log cannot be written; the member must
+    /// stop then, since it cannot keep what it would promise.
+    pub fn append(
+        &mut self,
+        hard_state: Option<HardState>,
+        entries: Vec<LogEntry>,
+    ) -> Result<(), StoreError> {
+        let path = self.folder.join(LOG_FILE);
+        let bytes = frame::encode(&encode(&Batch { hard_state, entries }));
+        self.log.write_all(&bytes).map_err(StoreError::io(&path))?;
+        self.log.sync_data().map_err(StoreError::io(&path))?;
+        self.log_bytes += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Puts a snapshot in place of the log up to it, and keeps `entries` after it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when a file cannot be written.
+    pub fn compact(
+        &mut self,
+        snapshot: &Snapshot,
+        hard_state: HardState,
+        entries: &[LogEntry],
+    ) -> Result<(), StoreError> {
+        // Between the two files the log still holds more than is needed, which is harmless.
+        write_snapshot(&self.folder, snapshot)?;
+        write_log(&self.folder, hard_state, entries)?;
+        *self = Self::append_to(&self.folder, log_length(&self.folder)?)?;
+        Ok(())
+    }
+
+    /// Returns the size of the log file, in bytes.
+    #[must_use]
+    pub const fn log_bytes(&self) -> u64 {
+        self.log_bytes
+    }
+
+    fn append_to(folder: &Path, length: u64) -> Result<Self, StoreError> {
+        let path = folder.join(LOG_FILE);
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&path)
+            .map_err(StoreError::io(&path))?;
+        log.set_len(length).map_err(StoreError::io(&path))?;
+        log.sync_all().map_err(StoreError::io(&path))?;
+        Ok(Self { folder: folder.to_owned(), log, log_bytes: length })
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).expect("plain data always encodes")
+}
+
+fn log_length(folder: &Path) -> Result<u64, StoreError> {
+    let path = folder.join(LOG_FILE);
+    Ok(fs::metadata(&path).map_err(StoreError::io(&path))?.len())
+}
+
+fn write_snapshot(folder: &Path, snapshot: &Snapshot) -> Result<(), StoreError> {
+    replace_file(folder, SNAPSHOT_FILE, &frame::encode(&encode(snapshot)))
+}
+
+fn write_log(folder: &Path, hard_state: HardState, entries: &[LogEntry]) -> Result<(), StoreError> {
+    let batch = Batch { hard_state: Some(hard_state), entries: entries.to_vec() };
+    replace_file(folder, LOG_FILE, &frame::encode(&encode(&batch)))
+}
+
+fn read_snapshot(folder: &Path) -> Result<Option<Snapshot>, StoreError> {
+    let path = folder.join(SNAPSHOT_FILE);
+    let Some(bytes) = read_file(&path)? else {
+        return Ok(None);
+    };
+    let damaged = || StoreError::Damaged { path: path.clone(), offset: 0 };
+    let Found::Frame { content, .. } = frame::decode(&bytes, 0) else {
+        return Err(damaged());
+    };
+    postcard::from_bytes(content).map(Some).map_err(|_| damaged())
+}
+
+fn read_log(folder: &Path) -> Result<(HardState, Vec<LogEntry>, u64), StoreError> {
+    let path = folder.join(LOG_FILE);
+    let bytes = read_file(&path)?.unwrap_or_default();
+    let damaged = |offset| StoreError::Damaged { path: path.clone(), offset: offset as u64 };
+    let mut hard_state = HardState::default();
+    let mut entries: Vec<LogEntry> = Vec::new();
+    let mut offset = 0;
+    loop {
+        match frame::decode(&bytes, offset) {
+            Found::Frame { content, next } => {
+                let batch: Batch = postcard::from_bytes(content).map_err(|_| damaged(offset))?;
+                hard_state = batch.hard_state.unwrap_or(hard_state);
+                replace_tail(&mut entries, batch.entries);
+                offset = next;
+            }
+            Found::End => break,
+            // The first frame was synced before the log got its name.
+            Found::Bad if offset == 0 || frame::any_after(&bytes, offset) => {
+                return Err(damaged(offset));
+            }
+            Found::Bad => break,
+        }
+    }
+    Ok((hard_state, entries, offset as u64))
+}
+
+fn replace_tail(entries: &mut Vec<LogEntry>, new: Vec<LogEntry>) {
+    if let Some(first) = new.first() {
+        let keep = entries.partition_point(|entry| entry.index < first.index);
+        entries.truncate(keep);
+    }
+    entries.extend(new);
+}
+
+fn read_file(path: &Path) -> Result<Option<Vec<u8>>, StoreError> {
+    match fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(source) => Err(StoreError::Io { path: path.to_owned(), source }),
+    }
+}
