--- a/crates/egret_consensus/src/node.rs
+++ b/crates/egret_consensus/src/node.rs
@@ -13,7 +13,7 @@
 use crate::{
     log::Log,
     message::{Body, Envelope},
-    types::{HardState, Index, LogEntry, Membership, Payload, Snapshot, Term},
+    types::{ClusterId, HardState, Index, LogEntry, Membership, Payload, Snapshot, Term},
 };
 
 /// The periods of a member.
@@ -60,8 +60,25 @@
 
 impl Persisted {
     /// Describes the disk of a member of a new cluster.
+    ///
+    /// The first membership is also the first entry of the log, so that a
+    /// member that joins later learns it like any other.
     #[must_use]
     pub fn first(membership: Membership) -> Self {
+        /// The term before any election.
+        const FIRST_TERM: Term = Term(1);
+        let payload = Payload::Membership(membership.clone());
+        Self {
+            hard_state: HardState { term: FIRST_TERM, vote: None },
+            snapshot: Snapshot { membership, ..Snapshot::default() },
+            entries: vec![LogEntry { term: FIRST_TERM, index: Index(1), payload }],
+        }
+    }
+
+    /// Describes the disk of an instance that shall join a cluster.
+    #[must_use]
+    pub fn joining(cluster: ClusterId) -> Self {
+        let membership = Membership { cluster, ..Membership::default() };
         Self { snapshot: Snapshot { membership, ..Snapshot::default() }, ..Self::default() }
     }
 }
@@ -328,6 +345,12 @@
         self.state.term
     }
 
+    /// Returns term and vote.
+    #[must_use]
+    pub const fn hard_state(&self) -> HardState {
+        self.state
+    }
+
     /// Returns the last committed index that the member knows.
     #[must_use]
     pub const fn commit(&self) -> Index {
--- a/crates/egret_consensus/tests/cluster.rs
+++ b/crates/egret_consensus/tests/cluster.rs
@@ -85,7 +85,8 @@
         };
         for id in 1..=voters {
             let first = Persisted::first(membership.clone());
-            let disk = Disk { snapshot: first.snapshot, ..Disk::default() };
+            let disk =
+                Disk { hard: first.hard_state, snapshot: first.snapshot, entries: first.entries };
             run.add_instance(MemberId(id), disk);
         }
         run
@@ -223,8 +224,7 @@
             let id = MemberId(self.next_id);
             self.next_id += 1;
             // A joiner knows the cluster it asked to join, and nothing else.
-            let empty = Membership { cluster: membership.cluster, ..Membership::default() };
-            let first = Persisted::first(empty);
+            let first = Persisted::joining(membership.cluster);
             self.add_instance(id, Disk { snapshot: first.snapshot, ..Disk::default() });
             membership.with_learner(id, Member::new("joiner", "-"))
         } else {
--- /dev/null
+++ b/crates/egret_control/src/commands.rs
@@ -0,0 +1,215 @@
+//! What changes the state.
+
+use egret_record::{
+    Backend, BackendName, Change, DataCentre, Entry, Fence, OperationId, Phase, Record, RecordName,
+    Revision, SessionId, StoredRecord, Target,
+};
+use egret_rpc::{Command, Holder, LeaveReason, Operation, Reply};
+
+use crate::state::{SessionHolder, State};
+
+impl State {
+    /// Applies a command; the same commands in the same order give the same state.
+    pub fn apply(&mut self, command: Command) -> Reply {
+        match command {
+            Command::Amend { id, expected, operation } => self.amend(id, expected, operation),
+            Command::Join(holder) => self.join(holder),
+            Command::Report { session, fence, phase } => self.report(session, fence, phase),
+            Command::Drain(session) => self.drain(session),
+            Command::Leave { session, reason } => self.leave(session, reason),
+            Command::Claim { key, session, request, at } => {
+                let alive = |session: &SessionId| self.sessions.contains_key(session);
+                Reply::Claim(self.claims.claim(key, session, request, at, alive))
+            }
+            Command::Settle { key, attempt, outcome } => {
+                self.claims.settle(&key, attempt, outcome);
+                self.accepted()
+            }
+        }
+    }
+
+    fn accepted(&self) -> Reply {
+        Reply::Accepted { revision: self.view.revision }
+    }
+
+    fn amend(
+        &mut self,
+        id: OperationId,
+        expected: Option<Revision>,
+        operation: Operation,
+    ) -> Reply {
+        if let Some(first) = self.outcomes.get(&id) {
+            return first.clone();
+        }
+        let reply = match operation {
+            Operation::Put(record) => self.put(&id, expected, record),
+            Operation::Remove(name) => self.remove(&id, expected, &name),
+            Operation::SetDataCentre { name, out } => self.set_data_centre(name, out),
+        };
+        self.outcomes.insert(id, reply.clone());
+        reply
+    }
+
+    fn put(&mut self, id: &OperationId, expected: Option<Revision>, record: Record) -> Reply {
+        if let Some(conflict) = self.conflict(&record.name, expected) {
+            return conflict;
+        }
+        if let Some(other) = self.rival(&record) {
+            return Reply::Refused {
+                message: format!(
+                    "record {:?} takes the same model or path; change or remove it first",
+                    other.as_str()
+                ),
+            };
+        }
+        let name = record.name.clone();
+        let stored = StoredRecord { record, revision: self.view.revision.next() };
+        self.keep_history(stored.clone());
+        let revision = self.change(Change::Record(stored));
+        self.winners.insert(name, id.clone());
+        self.plan_rollouts();
+        Reply::Accepted { revision }
+    }
+
+    fn remove(&mut self, id: &OperationId, expected: Option<Revision>, name: &RecordName) -> Reply {
+        if let Some(conflict) = self.conflict(name, expected) {
+            return conflict;
+        }
+        if !self.view.records.contains_key(name) {
+            let message = format!("there is no record {:?}; list the records", name.as_str());
+            return Reply::Refused { message };
+        }
+        let revision = self.change(Change::RecordRemoved(name.clone()));
+        self.winners.insert(name.clone(), id.clone());
+        self.plan_rollouts();
+        Reply::Accepted { revision }
+    }
+
+    fn conflict(&self, name: &RecordName, expected: Option<Revision>) -> Option<Reply> {
+        let expected = expected?;
+        let stored = self.view.records.get(name);
+        let revision = stored.map_or(Revision(0), |stored| stored.revision);
+        (revision != expected)
+            .then(|| Reply::Conflict { revision, winner: self.winners.get(name).cloned() })
+    }
+
+    /// Returns another record that requests could not be told apart from.
+    fn rival(&self, record: &Record) -> Option<&RecordName> {
+        let same = |other: &Record| match (&record.target, &other.target) {
+            (Target::Model(a), Target::Model(b)) => a.model == b.model,
+            (Target::Service(a), Target::Service(b)) => a.path == b.path,
+            _ => false,
+        };
+        self.view
+            .records
+            .values()
+            .map(|stored| &stored.record)
+            .find(|other| other.name != record.name && same(other))
+            .map(|other| &other.name)
+    }
+
+    fn set_data_centre(&mut self, name: DataCentre, out: bool) -> Reply {
+        if self.view.out.contains(&name) != out {
+            self.change(Change::DataCentre { name, out });
+            self.plan_rollouts();
+        }
+        self.accepted()
+    }
+
+    fn join(&mut self, holder: Holder) -> Reply {
+        let session = self.new_session();
+        match holder {
+            Holder::Entry { name, data_centre, address } => {
+                if let Some(old) = self.view.entries.get(&name) {
+                    self.sessions.remove(&old.session);
+                }
+                self.sessions.insert(session, SessionHolder::Entry(name.clone()));
+                let entry = Entry { name, data_centre, address, session, leaving: false };
+                self.change(Change::Entry(entry));
+            }
+            Holder::Backend { name, data_centre, address, peer_address, role, limit } => {
+                let old = self.view.backends.get(&name).cloned();
+                if let Some(old) = &old {
+                    self.sessions.remove(&old.session);
+                }
+                self.sessions.insert(session, SessionHolder::Backend(name.clone()));
+                let mut assignment = old.and_then(|old| old.assignment);
+                if let Some(order) = &mut assignment {
+                    // Orders of the former agent must be older than those of this one.
+                    order.fence = self.new_fence();
+                    order.activate = true;
+                }
+                self.change(Change::Backend(Backend {
+                    name,
+                    data_centre,
+                    address,
+                    peer_address,
+                    role,
+                    limit,
+                    session,
+                    assignment,
+                    phase: Phase::Idle,
+                    leaving: false,
+                }));
+                self.plan_rollouts();
+            }
+        }
+        Reply::Joined { session }
+    }
+
+    fn report(&mut self, session: SessionId, fence: Fence, phase: Phase) -> Reply {
+        let Some(name) = self.backend_of(session) else {
+            return Reply::SessionGone;
+        };
+        let Some(mut backend) = self.view.backends.get(&name).cloned() else {
+            return Reply::SessionGone;
+        };
+        let ordered = backend.assignment.as_ref().map_or(Fence(0), |order| order.fence);
+        if ordered == fence && backend.phase != phase {
+            backend.phase = phase;
+            self.change(Change::Backend(backend));
+            self.plan_rollouts();
+        }
+        self.accepted()
+    }
+
+    fn drain(&mut self, session: SessionId) -> Reply {
+        match self.sessions.get(&session).cloned() {
+            None => return Reply::SessionGone,
+            Some(SessionHolder::Entry(name)) => {
+                if let Some(mut entry) = self.view.entries.get(&name).cloned() {
+                    entry.leaving = true;
+                    self.change(Change::Entry(entry));
+                }
+            }
+            Some(SessionHolder::Backend(name)) => {
+                if let Some(mut backend) = self.view.backends.get(&name).cloned() {
+                    backend.leaving = true;
+                    self.change(Change::Backend(backend));
+                }
+            }
+        }
+        self.accepted()
+    }
+
+    fn leave(&mut self, session: SessionId, _reason: LeaveReason) -> Reply {
+        match self.sessions.remove(&session) {
+            None => return Reply::SessionGone,
+            Some(SessionHolder::Entry(name)) => {
+                self.change(Change::EntryLeft(name));
+            }
+            Some(SessionHolder::Backend(name)) => {
+                self.change(Change::BackendLeft(name));
+                self.plan_rollouts();
+            }
+        }
+        self.accepted()
+    }
+
+    fn backend_of(&self, session: SessionId) -> Option<BackendName> {
+        match self.sessions.get(&session)? {
+            SessionHolder::Backend(name) => Some(name.clone()),
+            SessionHolder::Entry(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/egret_control/src/driver.rs
@@ -0,0 +1,320 @@
+//! The loop around node, disk and state.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+use egret_consensus::{
+    Envelope, Index, LogEntry, Member, Membership, Node, Payload, Role, Snapshot, Term,
+};
+use egret_record::{FastMap, MemberId, Revision};
+use egret_rpc::{Command, LeaveReason, Reply, decode, encode};
+use egret_store::{Journal, StoreError};
+use tokio::{
+    sync::{Notify, mpsc, oneshot, watch},
+    time::{Instant, sleep_until},
+};
+
+use crate::{holders::Holders, peers::Peers, state::State};
+
+/// Inputs that are handled before the disk is synced once for all of them.
+const BATCH_INPUTS: usize = 512;
+
+/// What the loop is told.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// A message of another member.
+    Message(Envelope),
+    /// A command to replicate.
+    Propose(Command, oneshot::Sender<Option<Reply>>),
+    /// A change of membership to replicate.
+    ChangeMembership(MembershipChange, oneshot::Sender<Option<Reply>>),
+}
+
+/// A change of membership.
+#[derive(Debug)]
+pub(crate) enum MembershipChange {
+    Add(MemberId, Member),
+    Remove(MemberId),
+}
+
+struct Waiter {
+    term: Term,
+    reply: oneshot::Sender<Option<Reply>>,
+}
+
+/// Everything that the control thread knows.
+pub(crate) struct Core {
+    pub(crate) node: Node,
+    pub(crate) state: State,
+    /// The leases given, while this member leads.
+    pub(crate) holders: Option<Holders>,
+    /// Instances that ask to be added, by name.
+    pub(crate) waiting: BTreeMap<String, (MemberId, Member)>,
+    /// Members that introduced themselves before the membership named them.
+    pub(crate) introduced: FastMap<MemberId, Member>,
+    journal: Journal,
+    waiters: BTreeMap<Index, Waiter>,
+    start: Instant,
+    lease: Duration,
+    snapshot_entries: u64,
+    revision: watch::Sender<Revision>,
+    confirmed: Rc<Notify>,
+}
+
+/// What a core is built from.
+pub(crate) struct CoreParts {
+    pub(crate) node: Node,
+    pub(crate) state: State,
+    pub(crate) journal: Journal,
+    pub(crate) start: Instant,
+    pub(crate) lease: Duration,
+    pub(crate) snapshot_entries: u64,
+}
+
+impl Core {
+    pub(crate) fn new(parts: CoreParts) -> Self {
+        let revision = parts.state.view().revision;
+        Self {
+            node: parts.node,
+            state: parts.state,
+            holders: None,
+            waiting: BTreeMap::new(),
+            introduced: FastMap::default(),
+            journal: parts.journal,
+            waiters: BTreeMap::new(),
+            start: parts.start,
+            lease: parts.lease,
+            snapshot_entries: parts.snapshot_entries,
+            revision: watch::Sender::new(revision),
+            confirmed: Rc::default(),
+        }
+    }
+
+    /// Returns the time on the node's clock.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Tells whether this member may answer for the whole cluster.
+    pub(crate) fn leads(&self) -> bool {
+        self.node.holds_lease(self.now())
+    }
+
+    /// Returns the address of the leader, or nothing when it is not known.
+    pub(crate) fn leader_address(&self) -> String {
+        let leader = self.node.leader().filter(|id| *id != self.node.id());
+        let member = leader.and_then(|id| self.node.membership().members.get(&id));
+        member.map(|member| member.address.clone()).unwrap_or_default()
+    }
+
+    /// Returns the revision of the state, as it changes.
+    pub(crate) fn revision(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
+    }
+
+    /// Returns what is notified when a holder confirms a revision.
+    pub(crate) fn confirmed(&self) -> Rc<Notify> {
+        self.confirmed.clone()
+    }
+
+    fn handle(&mut self, input: Input) {
+        let now = self.now();
+        match input {
+            Input::Message(envelope) => self.node.receive(envelope, now),
+            Input::Propose(command, reply) => {
+                self.propose(Payload::Command(encode(&command)), reply);
+            }
+            Input::ChangeMembership(change, reply) => {
+                let membership = self.node.membership();
+                let next = match change {
+                    MembershipChange::Add(id, member) => membership.with_learner(id, member),
+                    MembershipChange::Remove(id) => membership.without(id),
+                };
+                self.propose(Payload::Membership(next), reply);
+            }
+        }
+    }
+
+    fn propose(&mut self, payload: Payload, reply: oneshot::Sender<Option<Reply>>) {
+        let now = self.now();
+        match self.node.propose(payload, now) {
+            Ok(index) => {
+                self.waiters.insert(index, Waiter { term: self.node.term(), reply });
+            }
+            Err(error) => {
+                log::debug!("event=proposal_refused error=\"{error}\"");
+                let _ = reply.send(None);
+            }
+        }
+    }
+
+    /// Does what a leader owes without being asked.
+    fn do_leader_duties(&mut self) {
+        let now = self.now();
+        if self.node.role() != Role::Leader {
+            if self.holders.take().is_some() {
+                log::warn!("event=leadership_lost term={}", self.node.term().0);
+            }
+            for (_, waiter) in std::mem::take(&mut self.waiters) {
+                let _ = waiter.reply.send(None);
+            }
+            return;
+        }
+        if self.holders.is_none() {
+            log::info!("event=leadership_won term={}", self.node.term().0);
+            self.holders = Some(Holders::new(self.lease, now));
+        }
+        if !self.node.holds_lease(now) {
+            return;
+        }
+        self.end_expired_sessions(now);
+        self.promote_learners(now);
+    }
+
+    fn end_expired_sessions(&mut self, now: Duration) {
+        let Some(holders) = &mut self.holders else { return };
+        let sessions = &self.state.sessions;
+        holders.forget_ended(|session| sessions.contains_key(&session), now);
+        for session in holders.expired(self.state.sessions(), now) {
+            log::warn!("event=session_expired session={session}");
+            let command = Command::Leave { session, reason: LeaveReason::LeaseExpired };
+            let _ = self.node.propose(Payload::Command(encode(&command)), now);
+            // One proposal is enough, even if it takes a while to commit.
+            holders.confirm(session, Revision(0), now);
+        }
+    }
+
+    fn promote_learners(&mut self, now: Duration) {
+        if let Some(id) = self.node.promotable().first().copied() {
+            let next = self.node.membership().with_promoted(id);
+            if self.node.propose(Payload::Membership(next), now).is_ok() {
+                log::info!("event=member_promoted member={:016x}", id.0);
+            }
+        }
+    }
+
+    /// Keeps on disk what must be kept, then returns what may be sent.
+    fn flush(&mut self) -> Result<Vec<Envelope>, StoreError> {
+        let ready = self.node.ready();
+        if let Some(snapshot) = &ready.snapshot {
+            self.journal.compact(snapshot, self.node.hard_state(), &[])?;
+            self.load(snapshot);
+        }
+        if ready.hard_state.is_some() || !ready.entries.is_empty() {
+            self.journal.append(ready.hard_state, ready.entries)?;
+        }
+        for entry in ready.committed {
+            self.apply(entry);
+        }
+        self.revision.send_if_modified(|known| {
+            let revision = self.state.view().revision;
+            std::mem::replace(known, revision) != revision
+        });
+        self.compact()?;
+        Ok(ready.messages)
+    }
+
+    fn apply(&mut self, entry: LogEntry) {
+        let reply = match &entry.payload {
+            Payload::Empty => None,
+            Payload::Membership(membership) => {
+                self.waiting.retain(|_, (id, _)| !membership.members.contains_key(id));
+                Some(Reply::Accepted { revision: self.state.view().revision })
+            }
+            Payload::Command(bytes) => self.apply_command(bytes),
+        };
+        if let Some(waiter) = self.waiters.remove(&entry.index) {
+            let own = waiter.term == entry.term;
+            let _ = waiter.reply.send(reply.filter(|_| own));
+        }
+    }
+
+    fn apply_command(&mut self, bytes: &[u8]) -> Option<Reply> {
+        let command: Command = match decode(bytes) {
+            Ok(command) => command,
+            Err(error) => {
+                log::error!("event=command_not_decoded error=\"{error}\"");
+                return None;
+            }
+        };
+        if let Command::Leave { session, reason: LeaveReason::Shutdown } = &command
+            && let Some(holders) = &mut self.holders
+        {
+            holders.release(*session);
+        }
+        Some(self.state.apply(command))
+    }
+
+    fn load(&mut self, snapshot: &Snapshot) {
+        match State::restore(&snapshot.data) {
+            Ok(state) => self.state = state,
+            Err(error) => log::error!("event=snapshot_not_decoded error=\"{error}\""),
+        }
+    }
+
+    fn compact(&mut self) -> Result<(), StoreError> {
+        let commit = self.node.commit();
+        let old = self.node.log().snapshot().index;
+        if commit.0 - old.0 < self.snapshot_entries {
+            return Ok(());
+        }
+        let data = self.state.snapshot();
+        if let Some(snapshot) = self.node.compact(commit, data) {
+            let entries: Vec<_> = self.node.log().after(snapshot.index).cloned().collect();
+            self.journal.compact(&snapshot, self.node.hard_state(), &entries)?;
+            log::info!("event=snapshot index={} bytes={}", snapshot.index.0, snapshot.data.len());
+        }
+        Ok(())
+    }
+
+    fn next_tick(&self) -> Instant {
+        /// Longest time between two looks at the leader's duties.
+        const DUTIES_PERIOD: Duration = Duration::from_millis(100);
+        (self.start + self.node.next_tick()).min(Instant::now() + DUTIES_PERIOD)
+    }
+
+    pub(crate) fn membership(&self) -> &Membership {
+        self.node.membership()
+    }
+
+    /// Returns where a member is reached, if anyone has said so.
+    pub(crate) fn address_of(&self, id: MemberId) -> Option<&str> {
+        let member = self.membership().members.get(&id).or_else(|| self.introduced.get(&id));
+        member.map(|member| member.address.as_str())
+    }
+}
+
+/// Runs the loop until the disk fails.
+///
+/// # Errors
+///
+/// Returns a [`StoreError`] when something could not be kept; the member must
+/// not go on, since it cannot keep its promises.
+pub(crate) async fn drive(
+    core: Rc<RefCell<Core>>,
+    mut inbox: mpsc::Receiver<Input>,
+    peers: Peers,
+) -> Result<(), StoreError> {
+    let mut batch = Vec::with_capacity(BATCH_INPUTS);
+    loop {
+        let next_tick = core.borrow().next_tick();
+        tokio::select! {
+            count = inbox.recv_many(&mut batch, BATCH_INPUTS) => {
+                if count == 0 {
+                    return Ok(());
+                }
+            }
+            () = sleep_until(next_tick) => {}
+        }
+        let messages = {
+            let mut core = core.borrow_mut();
+            for input in batch.drain(..) {
+                core.handle(input);
+            }
+            let now = core.now();
+            core.node.tick(now);
+            core.do_leader_duties();
+            core.flush()?
+        };
+        peers.send(messages, |id| core.borrow().address_of(id).map(str::to_owned));
+    }
+}
--- /dev/null
+++ b/crates/egret_control/src/lib.rs
@@ -0,0 +1,32 @@
+//! The replicated control state and the program that keeps it.
+//!
+//! Operators write records; entries and agents hold sessions; requests that
+//! may run at most once are claimed. All of that is one deterministic
+//! [`State`], replicated by `egret_consensus` and kept by `egret_store`.
+//!
+//! - [`state`]: the state and its snapshot.
+//! - [`commands`]: what changes it.
+//! - [`queries`]: what reads it.
+//! - [`claims`]: requests that may run at most once.
+//! - [`rollout`]: which backend server shall run what.
+//! - [`holders`]: leases of entries and agents, known to the leader alone.
+//! - [`bootstrap`]: the first membership, and joining an existing one.
+//! - [`driver`]: the loop around node, disk and state.
+//! - [`server`]: the interface to other processes.
+
+mod bootstrap;
+mod claims;
+mod commands;
+mod driver;
+mod holders;
+mod peers;
+mod program;
+mod queries;
+mod rollout;
+mod server;
+mod state;
+
+pub use claims::Claims;
+pub use holders::Holders;
+pub use program::{ProgramError, run};
+pub use state::State;
--- /dev/null
+++ b/crates/egret_control/src/program.rs
@@ -0,0 +1,135 @@
+//! The program `egret-control`.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use egret_consensus::{Member, Node, Persisted, Timing};
+use egret_rpc::{listen, schema::control};
+use egret_settings::ControlSettings;
+use egret_store::{DataFolder, Journal, StoreError};
+use egret_telemetry::{MetricsError, serve_metrics};
+use miette::Diagnostic;
+use thiserror::Error;
+use tokio::{net::TcpListener, sync::mpsc, task::LocalSet, time::Instant};
+
+use crate::{
+    bootstrap,
+    driver::{Core, CoreParts, drive},
+    peers::Peers,
+    server::Server,
+    state::State,
+};
+
+/// Inputs that wait for the loop.
+const INBOX_INPUTS: usize = 8_192;
+
+/// Why the program ends.
+#[derive(Debug, Error, Diagnostic)]
+pub enum ProgramError {
+    /// The address cannot be used.
+    #[error("cannot listen on {address}: {source}")]
+    #[diagnostic(help("correct `listen` in the settings, or stop what uses the address"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The state on disk is of a newer program or damaged.
+    #[error("the snapshot in the data folder cannot be read: {0}")]
+    #[diagnostic(help("start the version that wrote it, or rejoin with an empty data folder"))]
+    Snapshot(#[from] egret_rpc::DecodeError),
+    /// The data folder cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Store(#[from] StoreError),
+    /// Metrics cannot be served.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
+/// Runs the program until `stop` is done or the disk fails.
+///
+/// # Errors
+///
+/// Returns a [`ProgramError`] when the program cannot start or go on.
+pub async fn run(
+    settings: ControlSettings,
+    stop: impl Future<Output = ()>,
+) -> Result<(), ProgramError> {
+    LocalSet::new().run_until(run_local(settings, stop)).await
+}
+
+async fn run_local(
+    settings: ControlSettings,
+    stop: impl Future<Output = ()>,
+) -> Result<(), ProgramError> {
+    let folder = DataFolder::open(&settings.data_folder)?;
+    serve_metrics(settings.metrics).await?;
+    let address = settings.listen;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|source| ProgramError::Listen { address, source })?;
+    let own = folder.identity();
+    log::info!(
+        "event=started program=egret-control name={} identity={:016x}",
+        settings.name,
+        own.0
+    );
+    let server = Server::new(own, Member::new(&settings.name, &address.to_string()));
+    let client: control::Client = capnp_rpc::new_client(server.clone());
+    tokio::task::spawn_local(listen(listener, client.client));
+    tokio::select! {
+        result = keep(&settings, &folder, &server) => result,
+        () = stop => {
+            log::info!("event=stopped program=egret-control name={}", settings.name);
+            Ok(())
+        }
+    }
+}
+
+async fn keep(
+    settings: &ControlSettings,
+    folder: &DataFolder,
+    server: &Server,
+) -> Result<(), ProgramError> {
+    let own = folder.identity();
+    let (journal, persisted) = match Journal::open(folder.path())? {
+        Some(found) => found,
+        None => {
+            let persisted = bootstrap::find_cluster(settings, own).await;
+            (Journal::create(folder.path(), &persisted)?, persisted)
+        }
+    };
+    let core = Rc::new(RefCell::new(core(settings, folder, journal, persisted)?));
+    let (sender, inbox) = mpsc::channel(INBOX_INPUTS);
+    server.start(core.clone(), sender);
+    let joining = async {
+        bootstrap::ask_to_join(settings, own, &core).await;
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        result = drive(core.clone(), inbox, Peers::default()) => Ok(result?),
+        () = joining => unreachable!("joining stays pending"),
+    }
+}
+
+fn core(
+    settings: &ControlSettings,
+    folder: &DataFolder,
+    journal: Journal,
+    persisted: Persisted,
+) -> Result<Core, ProgramError> {
+    let start = Instant::now();
+    let state = State::restore(&persisted.snapshot.data)?;
+    let timing = Timing::of_election(Duration::from_millis(settings.election_ms));
+    let node = Node::new(folder.identity(), persisted, timing, rand::random(), Duration::ZERO);
+    Ok(Core::new(CoreParts {
+        node,
+        state,
+        journal,
+        start,
+        lease: Duration::from_millis(settings.lease_ms),
+        snapshot_entries: settings.snapshot_entries,
+    }))
+}
--- /dev/null
+++ b/crates/egret_control/src/server.rs
@@ -0,0 +1,328 @@
+//! The interface to other processes.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use egret_consensus::Member;
+use egret_record::{MemberId, Revision, SessionId};
+use egret_rpc::{
+    Command, MemberStatus, Query, Reply, Request, StatusReply, UnixMillis, decode, encode,
+    read_envelope, read_member, schema::control, write_member,
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, sleep, timeout},
+};
+
+use crate::driver::{Core, Input, MembershipChange};
+
+/// Longest wait of a poll, as a part of the lease.
+const POLLS_PER_LEASE: u32 = 3;
+
+/// The interface, before and after this instance belongs to a cluster.
+#[derive(Clone)]
+pub(crate) struct Server {
+    own: MemberId,
+    member: Member,
+    running: Rc<RefCell<Option<Running>>>,
+}
+
+#[derive(Clone)]
+struct Running {
+    core: Rc<RefCell<Core>>,
+    inbox: mpsc::Sender<Input>,
+}
+
+enum Answer<T> {
+    Done(T),
+    NotLeader(String),
+}
+
+impl Server {
+    pub(crate) fn new(own: MemberId, member: Member) -> Self {
+        Self { own, member, running: Rc::default() }
+    }
+
+    /// Starts to answer for a cluster.
+    pub(crate) fn start(&self, core: Rc<RefCell<Core>>, inbox: mpsc::Sender<Input>) {
+        self.running.replace(Some(Running { core, inbox }));
+    }
+
+    fn running(&self) -> Option<Running> {
+        self.running.borrow().clone()
+    }
+}
+
+impl Running {
+    fn not_leader<T>(&self) -> Answer<T> {
+        Answer::NotLeader(self.core.borrow().leader_address())
+    }
+
+    async fn call(&self, request: Request) -> Answer<Reply> {
+        match request {
+            Request::Command(command) => {
+                self.submit(|reply| Input::Propose(stamped(command), reply)).await
+            }
+            Request::Query(query) => self.query(query).await,
+            Request::AddMember(name) => {
+                let found = self.core.borrow().waiting.get(&name).cloned();
+                let Some((id, member)) = found else {
+                    return self.refused(format!(
+                        "no control instance {name:?} asks to be added; start it with an empty \
+                         data folder and the others in its `peers`"
+                    ));
+                };
+                let change = MembershipChange::Add(id, member);
+                self.submit(|reply| Input::ChangeMembership(change, reply)).await
+            }
+            Request::RemoveMember(id) => {
+                if !self.core.borrow().membership().members.contains_key(&id) {
+                    return self.refused(format!(
+                        "no member has identity {:016x}; `egretctl status` lists them",
+                        id.0
+                    ));
+                }
+                let change = MembershipChange::Remove(id);
+                self.submit(|reply| Input::ChangeMembership(change, reply)).await
+            }
+        }
+    }
+
+    fn refused(&self, message: String) -> Answer<Reply> {
+        if self.core.borrow().leads() {
+            Answer::Done(Reply::Refused { message })
+        } else {
+            self.not_leader()
+        }
+    }
+
+    async fn submit(
+        &self,
+        input: impl FnOnce(oneshot::Sender<Option<Reply>>) -> Input,
+    ) -> Answer<Reply> {
+        if !self.core.borrow().leads() {
+            return self.not_leader();
+        }
+        let (sender, reply) = oneshot::channel();
+        if self.inbox.send(input(sender)).await.is_err() {
+            return self.not_leader();
+        }
+        match reply.await {
+            Ok(Some(reply)) => Answer::Done(reply),
+            Ok(None) | Err(_) => self.not_leader(),
+        }
+    }
+
+    async fn query(&self, query: Query) -> Answer<Reply> {
+        if !self.core.borrow().leads() {
+            return self.not_leader();
+        }
+        let core = self.core.borrow();
+        Answer::Done(match query {
+            Query::View => Reply::View(Box::new(core.state.view().clone())),
+            Query::History(name) => Reply::History(core.state.history(&name)),
+            Query::Status => Reply::Status(status(&core)),
+        })
+    }
+
+    async fn poll(&self, session: SessionId, confirmed: Revision) -> Answer<Option<Vec<u8>>> {
+        let (mut revision, wait) = {
+            let mut core = self.core.borrow_mut();
+            if !core.leads() {
+                return self.not_leader_of(&core);
+            }
+            if !core.state.sessions.contains_key(&session) {
+                return Answer::Done(None);
+            }
+            let now = core.now();
+            let Some(holders) = &mut core.holders else {
+                return self.not_leader_of(&core);
+            };
+            holders.confirm(session, confirmed, now);
+            let wait = holders.lease() / POLLS_PER_LEASE;
+            core.confirmed().notify_waiters();
+            (core.revision(), wait)
+        };
+        let _ = timeout(wait, revision.wait_for(|known| *known > confirmed)).await;
+        let mut core = self.core.borrow_mut();
+        if !core.leads() {
+            return self.not_leader_of(&core);
+        }
+        if !core.state.sessions.contains_key(&session) {
+            return Answer::Done(None);
+        }
+        let now = core.now();
+        if let Some(holders) = &mut core.holders {
+            holders.confirm(session, confirmed, now);
+        }
+        Answer::Done(Some(encode(&core.state.delta(confirmed))))
+    }
+
+    async fn in_force(&self, revision: Revision, wait: Duration) -> Answer<bool> {
+        /// Pause after which leases may have ended without a word.
+        const LOOK_PERIOD: Duration = Duration::from_millis(20);
+        let deadline = Instant::now() + wait;
+        let confirmed = self.core.borrow().confirmed();
+        loop {
+            {
+                let core = self.core.borrow();
+                if !core.leads() {
+                    return self.not_leader_of(&core);
+                }
+                let now = core.now();
+                let known = core.state.view().revision >= revision;
+                if known && core.holders.as_ref().is_some_and(|h| h.in_force(revision, now)) {
+                    return Answer::Done(true);
+                }
+            }
+            if Instant::now() >= deadline {
+                return Answer::Done(false);
+            }
+            tokio::select! {
+                () = confirmed.notified() => {}
+                () = sleep(LOOK_PERIOD) => {}
+            }
+        }
+    }
+
+    #[expect(clippy::unused_self, reason = "reads like not_leader, with the core borrowed already")]
+    fn not_leader_of<T>(&self, core: &Core) -> Answer<T> {
+        Answer::NotLeader(core.leader_address())
+    }
+}
+
+/// Stamps a claim with the leader's clock, whatever the sender wrote.
+fn stamped(command: Command) -> Command {
+    match command {
+        Command::Claim { key, session, request, .. } => {
+            let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let at = UnixMillis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX));
+            Command::Claim { key, session, request, at }
+        }
+        other => other,
+    }
+}
+
+fn status(core: &Core) -> StatusReply {
+    let membership = core.membership().clone();
+    let members = membership
+        .members
+        .iter()
+        .map(|(id, member)| MemberStatus {
+            identity: *id,
+            name: member.name.clone(),
+            voter: membership.voters.contains(id),
+            leader: core.node.leader() == Some(*id),
+        })
+        .collect();
+    let waiting = core.waiting.iter().map(|(name, (id, _))| (name.clone(), *id)).collect();
+    StatusReply {
+        members,
+        waiting,
+        membership,
+        revision: core.state.view().revision,
+        commit: core.node.commit().0,
+        term: core.node.term().0,
+    }
+}
+
+impl control::Server for Server {
+    async fn hello(
+        self: Rc<Self>,
+        params: control::HelloParams,
+        mut results: control::HelloResults,
+    ) -> capnp::Result<()> {
+        let (id, member) = read_member(params.get()?.get_member()?)?;
+        let mut answer = results.get();
+        write_member(self.own, &self.member, answer.reborrow().init_member());
+        if let Some(running) = self.running() {
+            let mut core = running.core.borrow_mut();
+            answer.set_formed(true);
+            answer.set_cluster(core.membership().cluster.0);
+            if !core.membership().members.contains_key(&id) {
+                core.waiting.insert(member.name.clone(), (id, member));
+            }
+        }
+        Ok(())
+    }
+
+    async fn consensus(
+        self: Rc<Self>,
+        params: control::ConsensusParams,
+        _: control::ConsensusResults,
+    ) -> capnp::Result<()> {
+        let envelope = read_envelope(params.get()?.get_envelope()?)?;
+        if let Some(running) = self.running() {
+            let _ = running.inbox.send(Input::Message(envelope)).await;
+        }
+        Ok(())
+    }
+
+    async fn call(
+        self: Rc<Self>,
+        params: control::CallParams,
+        mut results: control::CallResults,
+    ) -> capnp::Result<()> {
+        let request = decode(params.get()?.get_request()?)
+            .map_err(|error| capnp::Error::failed(error.to_string()))?;
+        let answer = match self.running() {
+            Some(running) => running.call(request).await,
+            None => Answer::NotLeader(String::new()),
+        };
+        let mut result = results.get().init_result();
+        match answer {
+            Answer::Done(reply) => result.set_reply(&encode(&reply)),
+            Answer::NotLeader(address) => result.set_not_leader(address),
+        }
+        Ok(())
+    }
+
+    async fn poll(
+        self: Rc<Self>,
+        params: control::PollParams,
+        mut results: control::PollResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let session = SessionId(params.get_session());
+        let confirmed = Revision(params.get_confirmed());
+        let (answer, lease) = match self.running() {
+            Some(running) => {
+                let answer = running.poll(session, confirmed).await;
+                let lease = running.core.borrow().holders.as_ref().map(crate::Holders::lease);
+                (answer, lease.unwrap_or_default())
+            }
+            None => (Answer::NotLeader(String::new()), Duration::ZERO),
+        };
+        let mut result = results.get().init_result();
+        result.set_lease_millis(u64::try_from(lease.as_millis()).unwrap_or(0));
+        match answer {
+            Answer::Done(Some(delta)) => result.set_delta(&delta),
+            Answer::Done(None) => result.set_session_gone(()),
+            Answer::NotLeader(address) => result.set_not_leader(address),
+        }
+        Ok(())
+    }
+
+    async fn in_force(
+        self: Rc<Self>,
+        params: control::InForceParams,
+        mut results: control::InForceResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let revision = Revision(params.get_revision());
+        let wait = Duration::from_millis(params.get_wait_millis());
+        let answer = match self.running() {
+            Some(running) => running.in_force(revision, wait).await,
+            None => Answer::NotLeader(String::new()),
+        };
+        let mut result = results.get().init_result();
+        match answer {
+            Answer::Done(in_force) => result.set_in_force(in_force),
+            Answer::NotLeader(address) => result.set_not_leader(address),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/egret_control/src/state.rs
@@ -0,0 +1,151 @@
+//! The state and its snapshot.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use egret_record::{
+    BackendName, Change, Delta, EntryName, Fence, OperationId, RecordName, Revision, SessionId,
+    StoredRecord, View,
+};
+use egret_rpc::{DecodeError, Reply, decode, encode};
+use serde::{Deserialize, Serialize};
+
+use crate::claims::Claims;
+
+/// Changes that are kept for holders that lag.
+const CHANGES_KEPT: usize = 4_096;
+/// Outcomes of amendments that are kept for resends.
+const OUTCOMES_KEPT: usize = 10_000;
+/// Earlier forms that are kept of each record.
+const HISTORY_KEPT: usize = 50;
+
+/// Who holds a session.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum SessionHolder {
+    Entry(EntryName),
+    Backend(BackendName),
+}
+
+/// The outcomes of amendments, the oldest first.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct Outcomes {
+    replies: BTreeMap<OperationId, Reply>,
+    order: VecDeque<OperationId>,
+}
+
+impl Outcomes {
+    pub(crate) fn get(&self, id: &OperationId) -> Option<&Reply> {
+        self.replies.get(id)
+    }
+
+    pub(crate) fn insert(&mut self, id: OperationId, reply: Reply) {
+        if self.order.len() == OUTCOMES_KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.replies.remove(&oldest);
+        }
+        self.order.push_back(id.clone());
+        self.replies.insert(id, reply);
+    }
+}
+
+/// The replicated control state.
+///
+/// ```
+/// use egret_control::State;
+/// use egret_record::{DataCentre, OperationId};
+/// use egret_rpc::{Command, Operation, Reply};
+///
+/// let mut state = State::default();
+/// let reply = state.apply(Command::Amend {
+///     id: OperationId::new("first").unwrap(),
+///     expected: None,
+///     operation: Operation::SetDataCentre { name: DataCentre::new("xela")?, out: true },
+/// });
+/// assert!(matches!(reply, Reply::Accepted { .. }));
+/// # Ok::<(), egret_record::NameError>(())
+/// ```
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct State {
+    pub(crate) view: View,
+    pub(crate) sessions: BTreeMap<SessionId, SessionHolder>,
+    pub(crate) claims: Claims,
+    pub(crate) outcomes: Outcomes,
+    pub(crate) winners: BTreeMap<RecordName, OperationId>,
+    pub(crate) history: BTreeMap<RecordName, VecDeque<StoredRecord>>,
+    changes: VecDeque<(Revision, Change)>,
+    next_session: u64,
+    next_fence: u64,
+}
+
+impl State {
+    /// Returns the shared view.
+    #[must_use]
+    pub const fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Returns the sessions that are open.
+    pub fn sessions(&self) -> impl Iterator<Item = SessionId> + '_ {
+        self.sessions.keys().copied()
+    }
+
+    /// Encodes the whole state.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    /// Decodes a whole state; no bytes are the first state.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`DecodeError`] when the bytes are damaged or of a newer program.
+    pub fn restore(bytes: &[u8]) -> Result<Self, DecodeError> {
+        if bytes.is_empty() { Ok(Self::default()) } else { decode(bytes) }
+    }
+
+    /// Returns what a holder at revision `from` lacks.
+    #[must_use]
+    pub fn delta(&self, from: Revision) -> Delta {
+        let oldest = self.changes.front().map(|(revision, _)| *revision);
+        let whole = from == Revision(0)
+            || from > self.view.revision
+            || (from < self.view.revision && oldest.is_none_or(|oldest| oldest > from.next()));
+        if whole {
+            return Delta::Snapshot(Box::new(self.view.clone()));
+        }
+        let start = self.changes.partition_point(|(revision, _)| *revision <= from);
+        let changes = self.changes.range(start..).map(|(_, change)| change.clone()).collect();
+        Delta::Changes { from, to: self.view.revision, changes }
+    }
+
+    /// Makes a change, at a revision of its own.
+    pub(crate) fn change(&mut self, change: Change) -> Revision {
+        let revision = self.view.revision.next();
+        if self.changes.len() == CHANGES_KEPT {
+            self.changes.pop_front();
+        }
+        self.changes.push_back((revision, change.clone()));
+        self.view.change(change);
+        self.view.revision = revision;
+        revision
+    }
+
+    pub(crate) fn keep_history(&mut self, stored: StoredRecord) {
+        let history = self.history.entry(stored.record.name.clone()).or_default();
+        if history.len() == HISTORY_KEPT {
+            history.pop_front();
+        }
+        history.push_back(stored);
+    }
+
+    pub(crate) const fn new_session(&mut self) -> SessionId {
+        self.next_session += 1;
+        SessionId(self.next_session)
+    }
+
+    pub(crate) const fn new_fence(&mut self) -> Fence {
+        self.next_fence += 1;
+        Fence(self.next_fence)
+    }
+}
--- /dev/null
+++ b/crates/egret_route/src/budget.rs
@@ -0,0 +1,45 @@
+//! How many requests may be tried again.
+
+/// Tries that may be saved up.
+const SAVED_MAX: f64 = 20.0;
+
+/// A budget of extra tries, a share of the requests.
+///
+/// ```
+/// use egret_route::RetryBudget;
+///
+/// let mut budget = RetryBudget::new(50);
+/// while budget.spend() {}
+/// budget.earn();
+/// assert!(!budget.spend(), "one request earns half a try");
+/// budget.earn();
+/// assert!(budget.spend());
+/// ```
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    share: f64,
+    saved: f64,
+}
+
+impl RetryBudget {
+    /// Makes a budget of `percent` extra tries per hundred requests.
+    #[must_use]
+    pub fn new(percent: u32) -> Self {
+        let share = f64::from(percent) / 100.0;
+        Self { share, saved: if percent == 0 { 0.0 } else { SAVED_MAX / 2.0 } }
+    }
+
+    /// Notes a new request.
+    pub fn earn(&mut self) {
+        self.saved = (self.saved + self.share).min(SAVED_MAX);
+    }
+
+    /// Takes an extra try, if there is one.
+    pub fn spend(&mut self) -> bool {
+        let there = self.saved >= 1.0;
+        if there {
+            self.saved -= 1.0;
+        }
+        there
+    }
+}
--- /dev/null
+++ b/crates/egret_rpc/src/client.rs
@@ -0,0 +1,287 @@
+//! Requests to whichever control instance leads.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use egret_record::{Delta, Revision, SessionId};
+use rand::RngExt as _;
+use thiserror::Error;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, sleep, timeout_at},
+};
+
+use crate::{
+    connection::Connection,
+    request::{Reply, Request, decode, encode},
+    schema::{self, control},
+};
+
+/// Longest time that one try may take.
+const TRY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest pause between two tries.
+const PAUSE_MAX: Duration = Duration::from_millis(100);
+/// Requests that wait for the control thread.
+const QUEUE_REQUESTS: usize = 4_096;
+
+/// Why the control state gave no reply.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// No control instance leads or can be reached.
+    #[error("no control instance answered in time; check that a quorum runs, then try again")]
+    Unreachable,
+    /// The control thread of this process has ended.
+    #[error("this process is shutting down; ask another")]
+    Closed,
+}
+
+/// What a poll brought.
+#[derive(Debug)]
+pub(crate) enum Poll {
+    Delta { delta: Delta, lease: Duration },
+    SessionGone,
+}
+
+enum Attempt<T> {
+    Done(T),
+    NotLeader(Option<SocketAddr>),
+    Failed,
+}
+
+/// A client of the control instances that follows the leader.
+pub struct ControlClient {
+    addresses: Vec<SocketAddr>,
+    state: RefCell<State>,
+}
+
+#[derive(Default)]
+struct State {
+    next: usize,
+    leader: Option<SocketAddr>,
+    connection: Option<(SocketAddr, Rc<Connection<control::Client>>)>,
+}
+
+impl std::fmt::Debug for ControlClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ControlClient").field("addresses", &self.addresses).finish_non_exhaustive()
+    }
+}
+
+impl ControlClient {
+    /// Makes a client of the control instances at `addresses`.
+    #[must_use]
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        // Different processes begin with different instances.
+        let next = rand::rng().random_range(0..addresses.len().max(1));
+        Self { addresses, state: RefCell::new(State { next, ..State::default() }) }
+    }
+
+    /// Sends a request until it is replied to or `deadline` has passed.
+    ///
+    /// A request may be carried out although the reply was lost, and is then
+    /// sent again; all of them bear that.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Unreachable`] when no leader replied in time.
+    pub async fn call(&self, request: &Request, deadline: Instant) -> Result<Reply, CallError> {
+        let bytes = encode(request);
+        self.until(deadline, async |client| {
+            let mut call = client.call_request();
+            call.get().set_request(&bytes);
+            let response = call.send().promise.await?;
+            let result = response.get()?.get_result()?;
+            Ok(match result.which()? {
+                schema::call_result::Reply(reply) => match decode::<Reply>(reply?) {
+                    Ok(Reply::Unavailable { .. }) | Err(_) => Attempt::Failed,
+                    Ok(reply) => Attempt::Done(reply),
+                },
+                schema::call_result::NotLeader(address) => not_leader(address?)?,
+            })
+        })
+        .await
+    }
+
+    /// Waits until a revision is in force everywhere; tells whether it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Unreachable`] when no leader replied in time.
+    pub async fn in_force(&self, revision: Revision, deadline: Instant) -> Result<bool, CallError> {
+        /// Longest wait of one try.
+        const WAIT_MILLIS: u64 = 1_000;
+        loop {
+            let in_force = self
+                .until(deadline, async |client| {
+                    let mut call = client.in_force_request();
+                    call.get().set_revision(revision.0);
+                    call.get().set_wait_millis(WAIT_MILLIS);
+                    let response = call.send().promise.await?;
+                    Ok(match response.get()?.get_result()?.which()? {
+                        schema::in_force_result::InForce(in_force) => Attempt::Done(in_force),
+                        schema::in_force_result::NotLeader(address) => not_leader(address?)?,
+                    })
+                })
+                .await?;
+            if in_force || Instant::now() >= deadline {
+                return Ok(in_force);
+            }
+        }
+    }
+
+    pub(crate) async fn poll(
+        &self,
+        session: SessionId,
+        confirmed: Revision,
+        deadline: Instant,
+    ) -> Result<Poll, CallError> {
+        self.until(deadline, async |client| {
+            let mut call = client.poll_request();
+            call.get().set_session(session.0);
+            call.get().set_confirmed(confirmed.0);
+            let response = call.send().promise.await?;
+            let result = response.get()?.get_result()?;
+            let lease = Duration::from_millis(result.get_lease_millis());
+            Ok(match result.which()? {
+                schema::poll_result::Delta(delta) => match decode(delta?) {
+                    Ok(delta) => Attempt::Done(Poll::Delta { delta, lease }),
+                    Err(_) => Attempt::Failed,
+                },
+                schema::poll_result::NotLeader(address) => not_leader(address?)?,
+                schema::poll_result::SessionGone(()) => Attempt::Done(Poll::SessionGone),
+            })
+        })
+        .await
+    }
+
+    async fn until<T>(
+        &self,
+        deadline: Instant,
+        attempt: impl AsyncFn(control::Client) -> capnp::Result<Attempt<T>>,
+    ) -> Result<T, CallError> {
+        loop {
+            let until = deadline.min(Instant::now() + TRY_TIMEOUT);
+            let tried = timeout_at(until, async {
+                let client = self.connect().await?;
+                attempt(client).await
+            });
+            match tried.await {
+                Ok(Ok(Attempt::Done(value))) => return Ok(value),
+                Ok(Ok(Attempt::NotLeader(leader))) => self.leave(leader),
+                Ok(Ok(Attempt::Failed) | Err(_)) | Err(_) => self.leave(None),
+            }
+            if Instant::now() >= deadline {
+                return Err(CallError::Unreachable);
+            }
+            sleep(rand::rng().random_range(PAUSE_MAX / 10..PAUSE_MAX)).await;
+        }
+    }
+
+    async fn connect(&self) -> capnp::Result<control::Client> {
+        let address = {
+            let mut state = self.state.borrow_mut();
+            if let Some((_, connection)) = state.connection.as_ref().filter(|(_, c)| !c.is_closed())
+            {
+                return Ok(connection.client());
+            }
+            match state.leader.take() {
+                Some(leader) => leader,
+                None => {
+                    state.next = (state.next + 1) % self.addresses.len();
+                    self.addresses[state.next]
+                }
+            }
+        };
+        let connection = Rc::new(Connection::open(address).await?);
+        let client = connection.client();
+        self.state.borrow_mut().connection = Some((address, connection));
+        Ok(client)
+    }
+
+    /// Leaves the present connection, for the leader if it is known.
+    fn leave(&self, leader: Option<SocketAddr>) {
+        let mut state = self.state.borrow_mut();
+        let there = state.connection.as_ref().map(|(address, _)| *address);
+        if leader.is_none() || there != leader {
+            state.connection = None;
+            state.leader = leader;
+        }
+    }
+}
+
+fn not_leader<T>(address: capnp::text::Reader<'_>) -> capnp::Result<Attempt<T>> {
+    Ok(Attempt::NotLeader(address.to_str()?.parse().ok()))
+}
+
+/// What a traffic thread asks of the control thread.
+#[derive(Debug)]
+enum Queued {
+    Call(Request, Instant, oneshot::Sender<Result<Reply, CallError>>),
+    InForce(Revision, Instant, oneshot::Sender<Result<bool, CallError>>),
+}
+
+/// A handle by which traffic threads reach the control thread's client.
+#[derive(Debug, Clone)]
+pub struct ControlHandle {
+    queue: mpsc::Sender<Queued>,
+}
+
+/// The control thread's end of a [`ControlHandle`].
+#[derive(Debug)]
+pub struct ControlQueue(mpsc::Receiver<Queued>);
+
+impl ControlHandle {
+    /// Makes a handle and the queue that [`ControlQueue::serve`] empties.
+    #[must_use]
+    pub fn new() -> (Self, ControlQueue) {
+        let (sender, queue) = mpsc::channel(QUEUE_REQUESTS);
+        (Self { queue: sender }, ControlQueue(queue))
+    }
+
+    /// Sends a request until it is replied to or `deadline` has passed.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] when no reply came.
+    pub async fn call(&self, request: Request, deadline: Instant) -> Result<Reply, CallError> {
+        let (sender, reply) = oneshot::channel();
+        self.ask(Queued::Call(request, deadline, sender), reply).await
+    }
+
+    /// Waits until a revision is in force everywhere; tells whether it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] when no reply came.
+    pub async fn in_force(&self, revision: Revision, deadline: Instant) -> Result<bool, CallError> {
+        let (sender, reply) = oneshot::channel();
+        self.ask(Queued::InForce(revision, deadline, sender), reply).await
+    }
+
+    async fn ask<T>(
+        &self,
+        queued: Queued,
+        reply: oneshot::Receiver<Result<T, CallError>>,
+    ) -> Result<T, CallError> {
+        self.queue.send(queued).await.map_err(|_| CallError::Closed)?;
+        reply.await.map_err(|_| CallError::Closed)?
+    }
+}
+
+impl ControlQueue {
+    /// Serves the handles from `client`; must be awaited within a `LocalSet`.
+    pub async fn serve(mut self, client: Rc<ControlClient>) {
+        while let Some(queued) = self.0.recv().await {
+            let client = client.clone();
+            tokio::task::spawn_local(async move {
+                match queued {
+                    Queued::Call(request, deadline, reply) => {
+                        let _ = reply.send(client.call(&request, deadline).await);
+                    }
+                    Queued::InForce(revision, deadline, reply) => {
+                        let _ = reply.send(client.in_force(revision, deadline).await);
+                    }
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/egret_rpc/src/connection.rs
@@ -0,0 +1,104 @@
+//! Connections and listeners.
+
+use std::{future::Future, io, net::SocketAddr, time::Duration};
+
+use capnp::capability::FromClientHook;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use futures::AsyncReadExt as _;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::timeout,
+};
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+
+/// Longest time that connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A connection to another process, closed when dropped.
+#[derive(Debug)]
+pub struct Connection<C> {
+    client: C,
+    task: JoinHandle<()>,
+}
+
+impl<C: FromClientHook + Clone> Connection<C> {
+    /// Connects; must be called within a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when nobody listens or answers in time.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let mut system = RpcSystem::new(network(stream, Side::Client)?, None);
+        let client = system.bootstrap(Side::Server);
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = system.await {
+                log::debug!("event=connection_ended address={address} error={:?}", error.kind);
+            }
+        });
+        Ok(Self { client, task })
+    }
+
+    /// Returns the other side's interface.
+    #[must_use]
+    pub fn client(&self) -> C {
+        self.client.clone()
+    }
+
+    /// Tells whether the connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.task.is_finished()
+    }
+}
+
+impl<C> Drop for Connection<C> {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Serves an interface to every process that connects, until dropped.
+///
+/// Must be awaited within a `LocalSet`.
+pub fn listen(
+    listener: TcpListener,
+    client: capnp::capability::Client,
+) -> impl Future<Output = ()> {
+    async move {
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!("event=accept_failed error={error}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            };
+            while connections.try_join_next().is_some() {}
+            let Ok(network) = network(stream, Side::Server) else { continue };
+            let system = RpcSystem::new(network, Some(client.clone()));
+            connections.spawn_local(async move {
+                let _ = system.await;
+            });
+        }
+    }
+}
+
+fn network(
+    stream: TcpStream,
+    side: Side,
+) -> io::Result<Box<twoparty::VatNetwork<impl futures::AsyncRead + Unpin>>> {
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.compat().split();
+    let writer = futures::io::BufWriter::new(writer);
+    let mut options = capnp::message::ReaderOptions::new();
+    // Snapshots and chunks are larger than the library's default bound.
+    options.traversal_limit_in_words(Some(64 * 1024 * 1024));
+    let reader = futures::io::BufReader::new(reader);
+    Ok(Box::new(twoparty::VatNetwork::new(reader, writer, side, options)))
+}
--- /dev/null
+++ b/crates/egret_rpc/src/lib.rs
@@ -0,0 +1,28 @@
+//! The protocol between the system's own processes.
+//!
+//! The processes speak Cap'n Proto RPC; this crate keeps its generated types at
+//! the border. It converts them to the types that decisions are made on, keeps
+//! connections, follows the leader, and holds the session of an entry or agent.
+//!
+//! - [`request`]: what the control state is asked, and what it replies.
+//! - [`convert`]: conversions of the replicated log's messages.
+//! - [`connection`]: connections and listeners.
+//! - [`client`]: requests to whichever control instance leads.
+//! - [`session`]: the session of an entry or agent, with its lease and view.
+
+mod client;
+mod connection;
+mod convert;
+mod request;
+mod session;
+
+pub use client::{CallError, ControlClient, ControlHandle, ControlQueue};
+pub use connection::{Connection, listen};
+pub use convert::{read_envelope, read_member, write_envelope, write_member};
+pub use egret_schema::egret_capnp as schema;
+pub use request::{
+    CallerRequest, ClaimKey, ClaimOutcome, ClaimState, Command, DecodeError, Holder, LeaveReason,
+    MemberStatus, Operation, Query, Reply, Request, StatusReply, StoredAnswer, UnixMillis, decode,
+    encode,
+};
+pub use session::{Lease, Session, SharedView};
--- /dev/null
+++ b/crates/egret_rpc/src/request.rs
@@ -0,0 +1,319 @@
+//! What the control state is asked, and what it replies.
+//!
+//! These values stand in the replicated log and in snapshots as well, so they
+//! are encoded once, with a leading byte that names the encoding.
+
+use std::net::SocketAddr;
+
+use egret_consensus::Membership;
+use egret_record::{
+    BackendName, BackendRole, DataCentre, EntryName, Fence, IdempotencyKey, MemberId, OperationId,
+    Phase, Record, RecordName, Revision, SessionId, StoredRecord, VersionDigest, View,
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use thiserror::Error;
+
+/// The encoding that this version writes.
+const ENCODING: u8 = 1;
+
+/// Bytes that cannot be decoded.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum DecodeError {
+    /// A newer program wrote them.
+    #[error("encoding {0} is not known; upgrade this program")]
+    Encoding(u8),
+    /// They are damaged.
+    #[error("the bytes are no value of this kind; check that both programs have one version")]
+    Content,
+}
+
+/// Encodes a value.
+///
+/// # Panics
+///
+/// Panics never for the plain data of this crate, which always encodes.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_extend(value, vec![ENCODING]).expect("plain data always encodes")
+}
+
+/// Decodes a value.
+///
+/// # Errors
+///
+/// Returns a [`DecodeError`] for another encoding or damaged bytes.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    match bytes.split_first() {
+        Some((&ENCODING, content)) => {
+            postcard::from_bytes(content).map_err(|_| DecodeError::Content)
+        }
+        Some((&other, _)) => Err(DecodeError::Encoding(other)),
+        None => Err(DecodeError::Content),
+    }
+}
+
+/// A wall-clock time, in milliseconds since 1970; used for retention only.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct UnixMillis(pub u64);
+
+/// A request to the control state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Request {
+    /// Changes the state.
+    Command(Command),
+    /// Reads the state.
+    Query(Query),
+    /// Adds the waiting control instance of this name.
+    AddMember(String),
+    /// Removes the control instance of this identity.
+    RemoveMember(MemberId),
+}
+
+/// Who opens a session.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Holder {
+    /// An entry.
+    Entry {
+        /// Its name.
+        name: EntryName,
+        /// Its data centre.
+        data_centre: DataCentre,
+        /// Its address for callers.
+        address: SocketAddr,
+    },
+    /// An agent with its backend server.
+    Backend {
+        /// Its name.
+        name: BackendName,
+        /// Its data centre.
+        data_centre: DataCentre,
+        /// The agent's address for requests.
+        address: SocketAddr,
+        /// The agent's address for weights.
+        peer_address: SocketAddr,
+        /// What the backend server is.
+        role: BackendRole,
+        /// Requests that it bears at once when warm.
+        limit: u32,
+    },
+}
+
+/// An operator's amendment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Operation {
+    /// Writes a record.
+    Put(Record),
+    /// Removes a record.
+    Remove(RecordName),
+    /// Takes a data centre out or brings it back.
+    SetDataCentre {
+        /// The data centre.
+        name: DataCentre,
+        /// Whether it shall be out.
+        out: bool,
+    },
+}
+
+/// Why a session ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaveReason {
+    /// The holder shut down gracefully.
+    Shutdown,
+    /// The holder was silent for longer than its lease.
+    LeaseExpired,
+}
+
+/// The identity of a claim: a key belongs to one record.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ClaimKey {
+    /// The record that the request is for.
+    pub record: RecordName,
+    /// The caller's key.
+    pub key: IdempotencyKey,
+}
+
+/// What is known of the caller's request when it is claimed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerRequest {
+    /// Digest of method, path and body, so that a key is not used for two requests.
+    pub digest: VersionDigest,
+    /// Names the try, so that a claim whose reply was lost can be asked again.
+    pub attempt: u64,
+}
+
+/// A whole answer that is kept for resends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// How a claimed request ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimOutcome {
+    /// It was answered whole.
+    Answered(StoredAnswer),
+    /// It certainly did not run, so the claim is given up.
+    NotRun,
+    /// Nobody knows whether it ran.
+    Unknown,
+}
+
+/// What a claim finds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimState {
+    /// The asker may run the request, once.
+    Granted,
+    /// Another try of the same request is under way.
+    InProgress,
+    /// The request was answered.
+    Answered(StoredAnswer),
+    /// Nobody knows whether the request ran.
+    Unknown,
+    /// The key was used for another request.
+    KeyReused,
+    /// The key is older than claims are kept.
+    Expired,
+}
+
+/// A change of the control state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Amends what operators decide.
+    Amend {
+        /// Names the amendment, so that a resend gets the first outcome.
+        id: OperationId,
+        /// The revision that the amended record must have; zero for a new one.
+        expected: Option<Revision>,
+        /// The amendment.
+        operation: Operation,
+    },
+    /// Opens a session.
+    Join(Holder),
+    /// Says how far a backend server has come.
+    Report {
+        /// The session of its agent.
+        session: SessionId,
+        /// The order that the report is about.
+        fence: Fence,
+        /// How far it has come.
+        phase: Phase,
+    },
+    /// Says that a holder takes no new work.
+    Drain(SessionId),
+    /// Ends a session.
+    Leave {
+        /// The session.
+        session: SessionId,
+        /// Why it ends.
+        reason: LeaveReason,
+    },
+    /// Claims a request that may run at most once.
+    Claim {
+        /// The claim.
+        key: ClaimKey,
+        /// The session of the entry that would run it.
+        session: SessionId,
+        /// The request.
+        request: CallerRequest,
+        /// When it is claimed, by the clock of the leader.
+        at: UnixMillis,
+    },
+    /// Ends a claim.
+    Settle {
+        /// The claim.
+        key: ClaimKey,
+        /// The try that ends.
+        attempt: u64,
+        /// How it ended.
+        outcome: ClaimOutcome,
+    },
+}
+
+/// A question to the control state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Query {
+    /// The whole view.
+    View,
+    /// The earlier forms of a record, latest last.
+    History(RecordName),
+    /// The control instances.
+    Status,
+}
+
+/// A control instance, as the leader sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Its identity.
+    pub identity: MemberId,
+    /// Its name.
+    pub name: String,
+    /// Whether it votes.
+    pub voter: bool,
+    /// Whether it leads.
+    pub leader: bool,
+}
+
+/// The state of the control instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusReply {
+    /// The members.
+    pub members: Vec<MemberStatus>,
+    /// Names and identities that ask to be added.
+    pub waiting: Vec<(String, MemberId)>,
+    /// The membership in force.
+    pub membership: Membership,
+    /// The revision of the view.
+    pub revision: Revision,
+    /// The last committed index of the log.
+    pub commit: u64,
+    /// The term.
+    pub term: u64,
+}
+
+/// What the control state replies.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The change is accepted.
+    Accepted {
+        /// The revision after it.
+        revision: Revision,
+    },
+    /// Another amendment was first.
+    Conflict {
+        /// The revision that the record has.
+        revision: Revision,
+        /// The amendment that wrote it.
+        winner: Option<OperationId>,
+    },
+    /// The change makes no sense in this state.
+    Refused {
+        /// Why, with the remedy.
+        message: String,
+    },
+    /// A session is open.
+    Joined {
+        /// The session.
+        session: SessionId,
+    },
+    /// The session does not exist any more.
+    SessionGone,
+    /// What a claim found.
+    Claim(ClaimState),
+    /// The whole view.
+    View(Box<View>),
+    /// The earlier forms of a record.
+    History(Vec<StoredRecord>),
+    /// The control instances.
+    Status(StatusReply),
+    /// The leader cannot answer at the moment.
+    Unavailable {
+        /// Why, with the remedy.
+        message: String,
+    },
+}
--- /dev/null
+++ b/crates/egret_schema/schema/egret.capnp
@@ -0,0 +1,113 @@
+@0xd2a7c1f09b3e6584;
+
+struct Member {
+  identity @0 :UInt64;
+  name @1 :Text;
+  address @2 :Text;
+}
+
+struct Membership {
+  cluster @0 :UInt64;
+  voters @1 :List(UInt64);
+  learners @2 :List(UInt64);
+  members @3 :List(Member);
+}
+
+struct LogEntry {
+  term @0 :UInt64;
+  index @1 :UInt64;
+  union {
+    empty @2 :Void;
+    membership @3 :Membership;
+    command @4 :Data;
+  }
+}
+
+struct Ballot {
+  last @0 :UInt64;
+  lastTerm @1 :UInt64;
+}
+
+struct Append {
+  previous @0 :UInt64;
+  previousTerm @1 :UInt64;
+  entries @2 :List(LogEntry);
+  commit @3 :UInt64;
+  sentMicros @4 :UInt64;
+}
+
+struct AppendReply {
+  accepted @0 :Bool;
+  index @1 :UInt64;
+  sentMicros @2 :UInt64;
+}
+
+struct Install {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  membership @2 :Membership;
+  data @3 :Data;
+  sentMicros @4 :UInt64;
+}
+
+struct Envelope {
+  cluster @0 :UInt64;
+  from @1 :UInt64;
+  to @2 :UInt64;
+  term @3 :UInt64;
+  union {
+    preVote @4 :Ballot;
+    preVoteReply @5 :Bool;
+    vote @6 :Ballot;
+    voteReply @7 :Bool;
+    append @8 :Append;
+    appendReply @9 :AppendReply;
+    install @10 :Install;
+  }
+}
+
+struct CallResult {
+  union {
+    # A reply of the control state, encoded as egret_rpc::Reply.
+    reply @0 :Data;
+    # The address of the leader, or empty when it is not known.
+    notLeader @1 :Text;
+  }
+}
+
+struct PollResult {
+  union {
+    # Changes of the view, encoded as egret_record::Delta.
+    delta @0 :Data;
+    notLeader @1 :Text;
+    sessionGone @2 :Void;
+  }
+  leaseMillis @3 :UInt64;
+}
+
+struct InForceResult {
+  union {
+    inForce @0 :Bool;
+    notLeader @1 :Text;
+  }
+}
+
+interface Control {
+  # Introduces a control instance; the reply says whether the asked one has formed a cluster.
+  hello @0 (member :Member) -> (member :Member, formed :Bool, cluster :UInt64);
+  # Carries one message of the replicated log.
+  consensus @1 (envelope :Envelope) -> ();
+  # Changes or reads the control state; the request is encoded as egret_rpc::Request.
+  call @2 (request :Data) -> (result :CallResult);
+  # Renews a holder's lease and waits for changes after the revision it confirms.
+  poll @3 (session :UInt64, confirmed :UInt64) -> (result :PollResult);
+  # Waits until a revision is in force everywhere.
+  inForce @4 (revision :UInt64, waitMillis :UInt64) -> (result :InForceResult);
+}
+
+interface Peer {
+  # Asks which chunks of a version are held.
+  held @0 (version :Data) -> (chunks :List(UInt32));
+  # Fetches one chunk of a version.
+  chunk @1 (version :Data, index :UInt32) -> (found :Bool, content :Data);
+}
--- a/crates/egret_settings/src/programs.rs
+++ b/crates/egret_settings/src/programs.rs
@@ -179,7 +179,7 @@
 }
 
 const fn default_lease_ms() -> u64 {
-    2_000
+    1_500
 }
 const fn default_election_ms() -> u64 {
     400
--- a/crates/egret_store/tests/damage.rs
+++ b/crates/egret_store/tests/damage.rs
@@ -31,7 +31,8 @@
 }
 
 fn first() -> Persisted {
-    Persisted::first(Membership::of_voters([(MemberId(1), Member::new("a", "-"))]))
+    let membership = Membership::of_voters([(MemberId(1), Member::new("a", "-"))]);
+    Persisted { entries: Vec::new(), ..Persisted::first(membership) }
 }
 
 fn entry(index: u64, term: u64) -> LogEntry {
--- /dev/null
+++ b/crates/egret_telemetry/src/program.rs
@@ -0,0 +1,118 @@
+//! The frame that all programs share: command line, settings, logs, stopping.
+//!
+//! Exit codes: 0 after a graceful stop or a successful `--check`, 1 when the
+//! program could not go on, 2 when settings or command line cannot be used.
+
+use std::{future::Future, path::PathBuf, process::ExitCode};
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use egret_settings::{Settings, load};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::logs::start_logs;
+
+/// Exit code when the program could not go on.
+const EXIT_FAILED: u8 = 1;
+/// Exit code when settings or command line cannot be used.
+const EXIT_USAGE: u8 = 2;
+
+/// What a program says of itself.
+#[derive(Debug, Clone, Copy)]
+pub struct About {
+    /// Its name.
+    pub name: &'static str,
+    /// What it does, in one sentence.
+    pub summary: &'static str,
+    /// Its version.
+    pub version: &'static str,
+}
+
+/// The threads of a program.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Threads {
+    /// One, for control state alone.
+    One,
+    /// One for each core, for traffic.
+    Many,
+}
+
+/// Reads command line and settings, then runs a program until it is told to stop.
+pub fn main<S, R, E>(
+    about: About,
+    threads: Threads,
+    run: impl FnOnce(S, std::pin::Pin<Box<dyn Future<Output = ()> + Send>>) -> R,
+) -> ExitCode
+where
+    S: Settings,
+    R: Future<Output = Result<(), E>>,
+    E: miette::Diagnostic + Send + Sync + 'static,
+{
+    let matches = command(about).get_matches();
+    let path: &PathBuf = matches.get_one("config").expect("clap demands it");
+    let settings: S = match load(path) {
+        Ok(settings) => settings,
+        Err(error) => return fail(miette::Report::from(*error), EXIT_USAGE),
+    };
+    if matches.get_flag("check") {
+        println!("{}: the settings can be used", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let level = matches.get_one::<String>("log-level").expect("clap has a default");
+    let _logs = match start_logs(level) {
+        Ok(logs) => logs,
+        Err(error) => return fail(error.into(), EXIT_USAGE),
+    };
+    let runtime = match threads {
+        Threads::One => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        Threads::Many => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
+    };
+    let runtime = runtime.expect("the system allows a runtime");
+    match runtime.block_on(async { run(settings, Box::pin(stopped())).await }) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(error.into(), EXIT_FAILED),
+    }
+}
+
+fn command(about: About) -> Command {
+    Command::new(about.name)
+        .about(about.summary)
+        .version(about.version)
+        .after_help("Exit codes: 0 stopped gracefully, 1 could not go on, 2 unusable settings.")
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The YAML file with the settings"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Checks the settings and ends"),
+        )
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .default_value("info")
+                .help("One of error, warn, info, debug, trace"),
+        )
+}
+
+fn fail(error: miette::Report, code: u8) -> ExitCode {
+    eprintln!("{error:?}");
+    ExitCode::from(code)
+}
+
+async fn stopped() {
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/egret_weights/src/bucket.rs
@@ -0,0 +1,39 @@
+//! Shares of a link.
+
+use std::time::Duration;
+
+/// Time for which unused share is kept.
+const BURST: Duration = Duration::from_millis(50);
+
+/// A token bucket in bytes.
+///
+/// ```
+/// use std::time::Duration;
+/// use egret_weights::Bucket;
+///
+/// let mut bucket = Bucket::new(1_000);
+/// let wait = bucket.take(1_000, Duration::ZERO);
+/// assert_eq!(wait, Duration::from_secs(1));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Bucket {
+    rate: u64,
+    /// When all that was taken will have been paid for.
+    paid: Duration,
+}
+
+impl Bucket {
+    /// Makes a bucket of `rate` bytes a second.
+    #[must_use]
+    pub const fn new(rate: u64) -> Self {
+        Self { rate, paid: Duration::ZERO }
+    }
+
+    /// Takes `bytes` at `now`, and returns how long to wait before sending them.
+    pub fn take(&mut self, bytes: u64, now: Duration) -> Duration {
+        let nanos = u128::from(bytes) * 1_000_000_000 / u128::from(self.rate.max(1));
+        let cost = Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX));
+        self.paid = self.paid.max(now.saturating_sub(BURST)) + cost;
+        self.paid.saturating_sub(now)
+    }
+}
--- /dev/null
+++ b/crates/egret_weights/src/chunk_store.rs
@@ -0,0 +1,266 @@
+//! The chunks of versions on disk.
+//!
+//! Each version has a folder with its manifest and one file for its weights,
+//! written chunk by chunk. After a restart every chunk is checked again, so
+//! that what is there counts and what was torn is fetched once more.
+
+use std::{
+    collections::BTreeSet,
+    fs::{self, File, OpenOptions},
+    io,
+    os::unix::fs::FileExt as _,
+    path::{Path, PathBuf},
+};
+
+use egret_record::VersionDigest;
+use miette::Diagnostic;
+use thiserror::Error;
+
+use crate::manifest::{Manifest, ManifestError};
+
+const MANIFEST_FILE: &str = "manifest.json";
+const WEIGHTS_FILE: &str = "weights";
+
+/// Why weights cannot be kept.
+#[derive(Debug, Error, Diagnostic)]
+pub enum StoreError {
+    /// The system refused an operation on a file.
+    #[error("{path}: {source}")]
+    #[diagnostic(help("check that the data folder is on a working disk with free space"))]
+    Io {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The space for weights is used up.
+    #[error("{needed} bytes of weights do not fit into `disk_bytes` {limit} beside what is held")]
+    #[diagnostic(help("raise `disk_bytes`, or run the model on backend servers with more space"))]
+    Full {
+        /// Bytes that are needed.
+        needed: u64,
+        /// Bytes that may be used.
+        limit: u64,
+    },
+    /// A chunk does not match its digest.
+    #[error("chunk {index} does not match its digest; it is fetched from another source")]
+    Corrupt {
+        /// The chunk.
+        index: u32,
+    },
+    /// The manifest on disk cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Manifest(#[from] ManifestError),
+}
+
+fn at(path: &Path) -> impl FnOnce(io::Error) -> StoreError + '_ {
+    move |source| StoreError::Io { path: path.to_owned(), source }
+}
+
+/// The versions on disk, within a bound.
+#[derive(Debug)]
+pub struct ChunkStore {
+    folder: PathBuf,
+    limit: u64,
+}
+
+impl ChunkStore {
+    /// Opens the store below `folder`, which may use `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the folder cannot be made.
+    pub fn open(folder: &Path, limit: u64) -> Result<Self, StoreError> {
+        let folder = folder.join("versions");
+        fs::create_dir_all(&folder).map_err(at(&folder))?;
+        Ok(Self { folder, limit })
+    }
+
+    /// Opens the folder of a version that is on disk, and checks its chunks.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when files cannot be read.
+    pub fn find(&self, digest: VersionDigest) -> Result<Option<VersionFolder>, StoreError> {
+        let folder = self.folder.join(digest.to_string());
+        let path = folder.join(MANIFEST_FILE);
+        let json = match fs::read(&path) {
+            Ok(json) => json,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(source) => return Err(StoreError::Io { path, source }),
+        };
+        let Ok(manifest) = Manifest::parse(&json, digest) else {
+            // A torn manifest; it is fetched again.
+            return Ok(None);
+        };
+        VersionFolder::open(folder, manifest).map(Some)
+    }
+
+    /// Makes the folder of a version; versions outside `keep` give way to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Full`] when it does not fit beside what is kept.
+    pub fn create(
+        &self,
+        manifest: &Manifest,
+        keep: &BTreeSet<VersionDigest>,
+    ) -> Result<VersionFolder, StoreError> {
+        let digest = manifest.digest();
+        self.retain(|held| held == digest || keep.contains(&held))?;
+        let used = self.used_beside(digest)?;
+        if used + manifest.size > self.limit {
+            return Err(StoreError::Full { needed: manifest.size, limit: self.limit });
+        }
+        let folder = self.folder.join(digest.to_string());
+        fs::create_dir_all(&folder).map_err(at(&folder))?;
+        let json = serde_json::to_vec(manifest).expect("plain data always encodes");
+        let path = folder.join(MANIFEST_FILE);
+        fs::write(&path, json).map_err(at(&path))?;
+        VersionFolder::open(folder, manifest.clone())
+    }
+
+    /// Removes the versions that `keep` does not want.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when a folder cannot be removed.
+    pub fn retain(&self, keep: impl Fn(VersionDigest) -> bool) -> Result<(), StoreError> {
+        for (digest, path) in self.versions()? {
+            if !keep(digest) {
+                fs::remove_dir_all(&path).map_err(at(&path))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn used_beside(&self, digest: VersionDigest) -> Result<u64, StoreError> {
+        let others = self.versions()?.into_iter().filter(|(held, _)| *held != digest);
+        Ok(others
+            .filter_map(|(_, path)| fs::metadata(path.join(WEIGHTS_FILE)).ok())
+            .map(|m| m.len())
+            .sum())
+    }
+
+    fn versions(&self) -> Result<Vec<(VersionDigest, PathBuf)>, StoreError> {
+        let entries = fs::read_dir(&self.folder).map_err(at(&self.folder))?;
+        let versions = entries.flatten().filter_map(|entry| {
+            let digest = entry.file_name().to_str()?.parse().ok()?;
+            Some((digest, entry.path()))
+        });
+        Ok(versions.collect())
+    }
+}
+
+/// The chunks of one version on disk.
+#[derive(Debug)]
+pub struct VersionFolder {
+    manifest: Manifest,
+    path: PathBuf,
+    file: File,
+    held: BTreeSet<u32>,
+}
+
+impl VersionFolder {
+    fn open(folder: PathBuf, manifest: Manifest) -> Result<Self, StoreError> {
+        let path = folder.join(WEIGHTS_FILE);
+        let file = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(&path)
+            .map_err(at(&path))?;
+        file.set_len(manifest.size).map_err(at(&path))?;
+        let mut version = Self { manifest, path, file, held: BTreeSet::new() };
+        version.held =
+            version.manifest.indexes().filter(|index| version.is_intact(*index)).collect();
+        Ok(version)
+    }
+
+    /// Returns the manifest.
+    #[must_use]
+    pub const fn manifest(&self) -> &Manifest {
+        &self.manifest
+    }
+
+    /// Returns the path of the weights.
+    #[must_use]
+    pub fn weights(&self) -> &Path {
+        &self.path
+    }
+
+    /// Returns the chunks that are there.
+    #[must_use]
+    pub const fn held(&self) -> &BTreeSet<u32> {
+        &self.held
+    }
+
+    /// Tells whether all chunks are there.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.held.len() == self.manifest.chunks.len()
+    }
+
+    /// Keeps a chunk, if it matches its digest.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Corrupt`] when it does not.
+    pub fn insert(&mut self, index: u32, content: &[u8]) -> Result<(), StoreError> {
+        if !self.manifest.accepts(index, content) {
+            return Err(StoreError::Corrupt { index });
+        }
+        self.file.write_all_at(content, self.manifest.offset(index)).map_err(at(&self.path))?;
+        self.held.insert(index);
+        Ok(())
+    }
+
+    /// Reads a chunk that is there.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the file cannot be read or was damaged since.
+    pub fn read(&self, index: u32) -> Result<Option<Vec<u8>>, StoreError> {
+        if !self.held.contains(&index) {
+            return Ok(None);
+        }
+        let content = self.read_raw(index).map_err(at(&self.path))?;
+        if self.manifest.accepts(index, &content) {
+            Ok(Some(content))
+        } else {
+            Err(StoreError::Corrupt { index })
+        }
+    }
+
+    /// Syncs the weights and checks the digest of the whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when chunks are missing or the whole is wrong.
+    pub fn seal(&self) -> Result<(), StoreError> {
+        self.file.sync_data().map_err(at(&self.path))?;
+        let mut hasher = blake3::Hasher::new();
+        for index in self.manifest.indexes() {
+            hasher.update(&self.read_raw(index).map_err(at(&self.path))?);
+        }
+        if VersionDigest(*hasher.finalize().as_bytes()) == self.manifest.content {
+            Ok(())
+        } else {
+            Err(ManifestError::Damaged("the chunks do not make the whole that it names".to_owned())
+                .into())
+        }
+    }
+
+    fn is_intact(&self, index: u32) -> bool {
+        self.read_raw(index).is_ok_and(|content| self.manifest.accepts(index, &content))
+    }
+
+    fn read_raw(&self, index: u32) -> io::Result<Vec<u8>> {
+        let length = usize::try_from(self.manifest.length(index)).unwrap_or(usize::MAX);
+        let mut content = vec![0; length];
+        self.file.read_exact_at(&mut content, self.manifest.offset(index))?;
+        Ok(content)
+    }
+}
