--- a/crates/egret_agent/src/fetch.rs
+++ b/crates/egret_agent/src/fetch.rs
@@ -166,9 +166,9 @@
             for parent in parents(chunk, &self.own, &holders) {
                 let fetched = match &parent {
                     Parent::Agent(_, address) => {
-                        self.from_agent(*address, model.digest, index).await
+                        self.ask_agent(*address, model.digest, index).await
                     }
-                    Parent::Origin => self.from_origin(model, &manifest, index).await,
+                    Parent::Origin => self.ask_weights(model, &manifest, index).await,
                 };
                 let kept = fetched.and_then(|content| {
                     let mut folder = folder.borrow_mut();
@@ -192,7 +192,7 @@
         }
     }
 
-    async fn from_agent(
+    async fn ask_agent(
         &self,
         address: SocketAddr,
         version: VersionDigest,
@@ -235,7 +235,7 @@
         Ok(opened)
     }
 
-    async fn from_origin(
+    async fn ask_weights(
         &self,
         model: &ModelTarget,
         manifest: &Manifest,
--- a/crates/egret_agent/src/program.rs
+++ b/crates/egret_agent/src/program.rs
@@ -182,7 +182,7 @@
     log::info!("event=draining name={}", shared.name);
     let session = *shared.session.borrow();
     if let Some(session) = session {
-        let drain = Request::Command(Command::Drain(session));
+        let drain = Request::from(Command::Drain(session));
         let _ = control.call(drain, Instant::now() + STOP_TIMEOUT).await;
         tokio::time::sleep(LEAVE_TIME).await;
     }
@@ -190,7 +190,7 @@
     shared.idle().await;
     if let Some(session) = session {
         let leave = Command::Leave { session, reason: LeaveReason::Shutdown };
-        let _ = control.call(Request::Command(leave), Instant::now() + STOP_TIMEOUT).await;
+        let _ = control.call(Request::from(leave), Instant::now() + STOP_TIMEOUT).await;
     }
 }
 
--- a/crates/egret_agent/src/rollout.rs
+++ b/crates/egret_agent/src/rollout.rs
@@ -70,7 +70,7 @@
             let changed = async {
                 while self.backend().and_then(|backend| backend.assignment) == order {
                     if revision.changed().await.is_err() {
-                        return std::future::pending().await;
+                        std::future::pending::<()>().await;
                     }
                 }
             };
@@ -79,7 +79,7 @@
                     Some(order) => self.follow(order).await,
                     None => {
                         self.shared.set_active(None);
-                        std::future::pending().await
+                        std::future::pending::<()>().await;
                     }
                 }
             };
@@ -233,7 +233,7 @@
 
     async fn report(&self, fence: Fence, phase: Phase) {
         let Some(session) = *self.shared.session.borrow() else { return };
-        let request = Request::Command(Command::Report { session, fence, phase });
+        let request = Request::from(Command::Report { session, fence, phase });
         if let Err(error) = self.control.call(request, Instant::now() + REPORT_TIMEOUT).await {
             log::warn!("event=report_lost error=\"{error}\"");
         }
--- /dev/null
+++ b/crates/egret_bench/src/demo.rs
@@ -0,0 +1,284 @@
+//! The whole path once, with a data centre out and back.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use egret_route::Ran;
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use serde_json::Value;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    caller::{Caller, Ending, Event, Kind, tally},
+    deployment::{Deployment, Place, Plan},
+};
+
+/// The data centres of the demo, those of Kumamoto.
+const DATA_CENTRES: [&str; 3] = ["kumamoto", "fukuoka", "kagoshima"];
+/// Size of the weights, in bytes.
+const WEIGHTS_BYTES: usize = 8 * 1024 * 1024;
+/// Size of a chunk, in bytes.
+const CHUNK_BYTES: u32 = 256 * 1024;
+/// Callers at once.
+const CALLERS: usize = 12;
+/// How long the load goes on before, during and after the data centre is out.
+const PHASE: Duration = Duration::from_secs(4);
+/// Pause of a caller between two requests, at most.
+const PAUSE_MAX: Duration = Duration::from_millis(120);
+/// Longest wait for the deployment to come up, or for a record to be live.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Longest time for a graceful stop.
+const STOP_LIMIT: Duration = Duration::from_secs(15);
+
+/// What the demo found.
+#[derive(Debug)]
+struct Findings {
+    time_to_live: Duration,
+    origin_copies: f64,
+    events: Vec<Event>,
+    new_work_after_out: u64,
+    false_not_run: u64,
+    ran_twice: u64,
+    bad_exits: Vec<String>,
+}
+
+/// Runs the demo and prints what it found; returns whether all was well.
+///
+/// # Errors
+///
+/// Returns what went wrong before the load could start.
+pub async fn run(seed: u64) -> Result<bool, String> {
+    let findings = play(seed).await?;
+    Ok(print(seed, &findings))
+}
+
+/// Returns the plan of the demo: 3 control, 3 entry, 6 agents with engines, a service.
+#[must_use]
+pub fn plan() -> Plan {
+    let each = |kind: &str| -> Vec<Place> {
+        DATA_CENTRES.iter().map(|name| Place::new(format!("{kind}-{name}"), name)).collect()
+    };
+    let engines = DATA_CENTRES
+        .iter()
+        .flat_map(|name| (1..=2).map(move |at| Place::new(format!("runner-{name}-{at}"), name)));
+    Plan {
+        controls: each("control"),
+        entries: each("entry"),
+        engines: engines.collect(),
+        services: vec![(Place::new("register-1", DATA_CENTRES[0]), "register".to_owned())],
+        ..Plan::default()
+    }
+}
+
+/// Writes the records of the demo, and returns how long it took until they were live.
+///
+/// # Errors
+///
+/// Returns what went wrong.
+pub async fn publish(
+    deployment: &Deployment,
+    version: &str,
+    seed: u64,
+) -> Result<Duration, String> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let weights: Vec<u8> = (0..WEIGHTS_BYTES).map(|_| random.random()).collect();
+    let (digest, origin) = deployment
+        .publish("survey-drafts", version, &weights, CHUNK_BYTES)
+        .map_err(|error| error.to_string())?;
+    let drafting = format!(
+        "schema: 2\nname: drafting\nmodel:\n  name: survey-drafts\n  version: {version}\n  \
+         digest: {digest}\n  origin: {origin}\nplacement: {{ kumamoto: 2, fukuoka: 2, kagoshima: 2 }}\n\
+         priority: 200\n"
+    );
+    let register = "schema: 1\nname: register\nservice: register\npath: /register\ncalls:\n  \
+                    - { method: POST, path: /register/orders, once: true }\n";
+    let drafting = deployment.write("drafting.yaml", &drafting).map_err(|e| e.to_string())?;
+    let register = deployment.write("register.yaml", register).map_err(|e| e.to_string())?;
+    deployment.ctl(&["apply", &register]).await?;
+    let started = Instant::now();
+    deployment.ctl(&["apply", &drafting]).await?;
+    wait_live(deployment).await?;
+    Ok(started.elapsed())
+}
+
+async fn wait_live(deployment: &Deployment) -> Result<(), String> {
+    let live = |status: &Value| {
+        let records = status["records"].as_array();
+        records.is_some_and(|records| {
+            records.iter().all(|one| one["live"].as_u64() >= one["wanted"].as_u64().max(Some(1)))
+        })
+    };
+    let waited = deployment.wait_for(READY_LIMIT, live).await;
+    waited.map(|_| ()).map_err(|status| format!("the records are not live: {}", status["records"]))
+}
+
+/// Waits until all agents and entries of a plan are announced.
+///
+/// # Errors
+///
+/// Returns the last state when they are not in time.
+pub async fn wait_announced(deployment: &Deployment, plan: &Plan) -> Result<(), String> {
+    let backends = plan.engines.len() + plan.services.len();
+    let entries = plan.entries.len();
+    let announced = |status: &Value| {
+        let count = |key: &str| status[key].as_array().map_or(0, Vec::len);
+        count("backends") == backends && count("entries") == entries
+    };
+    let waited = deployment.wait_for(READY_LIMIT, announced).await;
+    waited.map(|_| ()).map_err(|status| format!("the deployment is not up: {status}"))
+}
+
+async fn play(seed: u64) -> Result<Findings, String> {
+    let plan = plan();
+    let mut deployment = Deployment::start(&plan).map_err(|error| error.to_string())?;
+    wait_announced(&deployment, &plan).await?;
+    let time_to_live = publish(&deployment, "v1", seed).await?;
+    let origin = deployment.stats(deployment.origin).await;
+    let origin_copies = origin["bytes"].as_f64().unwrap_or(0.0) / WEIGHTS_BYTES as f64;
+
+    let start = Instant::now();
+    let load = start_load(&deployment, seed, start, PHASE * 3);
+    sleep(PHASE).await;
+    deployment.ctl(&["data-centre", "out", "fukuoka"]).await?;
+    let before = started_in(&deployment, "fukuoka").await;
+    sleep(PHASE).await;
+    let after = started_in(&deployment, "fukuoka").await;
+    deployment.ctl(&["data-centre", "in", "fukuoka"]).await?;
+    let events = join(load).await;
+
+    let runs = runs(&deployment).await;
+    let bad_exits = stop_all(&mut deployment).await;
+    let untrue = |event: &&Event| {
+        event.kind == Kind::Register
+            && event.ending == Ending::Refused(Ran::NotRun)
+            && runs.contains_key(&event.name)
+    };
+    Ok(Findings {
+        time_to_live,
+        origin_copies,
+        new_work_after_out: after.saturating_sub(before),
+        false_not_run: events.iter().filter(untrue).count() as u64,
+        ran_twice: runs.values().filter(|runs| **runs > 1).count() as u64,
+        events,
+        bad_exits,
+    })
+}
+
+fn start_load(
+    deployment: &Deployment,
+    seed: u64,
+    start: Instant,
+    length: Duration,
+) -> JoinSet<Vec<Event>> {
+    let known: Vec<_> = deployment.entries.values().copied().collect();
+    let mut load = JoinSet::new();
+    for number in 0..CALLERS {
+        let mut random = SmallRng::seed_from_u64(seed ^ (number as u64) << 32);
+        let mut caller = Caller::new(&format!("organisation-{}", number % 4), known.clone(), start);
+        load.spawn(async move {
+            let mut events = Vec::new();
+            while start.elapsed() < length {
+                let kind = Kind::ALL[random.random_range(0..Kind::ALL.len())];
+                let name = format!("caller-{number}-request-{}", events.len());
+                events.push(caller.call(kind, &name).await);
+                if kind == Kind::Register {
+                    // A caller that is not sure sends the same request again.
+                    events.push(caller.call(kind, &name).await);
+                }
+                sleep(random.random_range(Duration::ZERO..PAUSE_MAX)).await;
+            }
+            events
+        });
+    }
+    load
+}
+
+async fn join(mut load: JoinSet<Vec<Event>>) -> Vec<Event> {
+    let mut events = Vec::new();
+    while let Some(Ok(some)) = load.join_next().await {
+        events.extend(some);
+    }
+    events
+}
+
+/// Returns how many requests have come to the engines of a data centre.
+async fn started_in(deployment: &Deployment, data_centre: &str) -> u64 {
+    let mut started = 0;
+    for (name, address) in &deployment.backends {
+        if name.contains(data_centre) {
+            started += deployment.stats(*address).await["started"].as_u64().unwrap_or(0);
+        }
+    }
+    started
+}
+
+async fn runs(deployment: &Deployment) -> BTreeMap<String, u64> {
+    let Some(service) = deployment.backends.get("register-1") else {
+        return BTreeMap::new();
+    };
+    let stats = deployment.stats(*service).await;
+    serde_json::from_value(stats).unwrap_or_default()
+}
+
+/// Stops all programs by their ids, and returns those that did not stop gracefully.
+async fn stop_all(deployment: &mut Deployment) -> Vec<String> {
+    let mut bad = Vec::new();
+    for kind in ["entry-", "runner-", "register-", "control-"] {
+        for name in deployment.names().into_iter().filter(|name| name.starts_with(kind)) {
+            if deployment.terminate(&name, STOP_LIMIT).await != Some(0) {
+                bad.push(name);
+            }
+        }
+    }
+    bad
+}
+
+fn print(seed: u64, found: &Findings) -> bool {
+    let tallies = tally(&found.events);
+    println!(
+        "{:<10} {:>6} {:>6} {:>8} {:>8} {:>5} {:>8} {:>8}",
+        "KIND", "SENT", "WHOLE", "NOT RUN", "UNKNOWN", "LOST", "P50 MS", "P95 MS"
+    );
+    for (kind, tally) in &tallies {
+        println!(
+            "{:<10} {:>6} {:>6} {:>8} {:>8} {:>5} {:>8.1} {:>8.1}",
+            kind.name(),
+            tally.sent,
+            tally.whole,
+            tally.not_run,
+            tally.unknown,
+            tally.lost,
+            tally.percentile(0.5).as_secs_f64() * 1_000.0,
+            tally.percentile(0.95).as_secs_f64() * 1_000.0,
+        );
+    }
+    for event in found.events.iter().filter(|event| matches!(event.ending, Ending::Lost(_))).take(5)
+    {
+        println!("lost: {event:?}");
+    }
+    for name in &found.bad_exits {
+        println!("did not stop gracefully: {name}");
+    }
+    let sum = |count: fn(&crate::caller::Tally) -> u64| tallies.values().map(count).sum::<u64>();
+    let (sent, whole, not_run) = (sum(|t| t.sent), sum(|t| t.whole), sum(|t| t.not_run));
+    let (unknown, lost) = (sum(|t| t.unknown), sum(|t| t.lost));
+    let violations = lost
+        + unknown
+        + found.false_not_run
+        + found.ran_twice
+        + found.new_work_after_out
+        + found.bad_exits.len() as u64;
+    println!(
+        "result seed={seed} time_to_live_s={:.2} origin_copies={:.2} sent={sent} whole={whole} \
+         refused_not_run={not_run} refused_unknown={unknown} lost={lost} ran_twice={} \
+         false_not_run={} new_work_after_out={} violations={violations}",
+        found.time_to_live.as_secs_f64(),
+        found.origin_copies,
+        found.ran_twice,
+        found.false_not_run,
+        found.new_work_after_out,
+    );
+    violations == 0 && whole > 0
+}
--- /dev/null
+++ b/crates/egret_bench/src/deployment.rs
@@ -0,0 +1,460 @@
+//! The programs as processes of this machine.
+//!
+//! Every process has a folder with its settings, data and log. Ports come from
+//! the kernel. All processes are ended by their ids when the deployment drops.
+
+use std::{
+    collections::BTreeMap,
+    fs::{self, File},
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use egret_http::HttpClient;
+use egret_weights::Manifest;
+use http::Method;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+use crate::http_text::ask;
+
+/// Longest time for one administrative question.
+const ASK_TIMEOUT: Duration = Duration::from_secs(15);
+/// Pause between two looks at a state that is waited for.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// An instance in a data centre.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// The name of the instance.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+}
+
+impl Place {
+    /// Names an instance and its data centre.
+    #[must_use]
+    pub fn new(name: impl Into<String>, data_centre: &str) -> Self {
+        Self { name: name.into(), data_centre: data_centre.to_owned() }
+    }
+}
+
+/// What a deployment consists of.
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    /// The control instances.
+    pub controls: Vec<Place>,
+    /// The entries.
+    pub entries: Vec<Place>,
+    /// The agents with a model engine each.
+    pub engines: Vec<Place>,
+    /// The agents with a plain service each, and the service's name.
+    pub services: Vec<(Place, String)>,
+    /// More arguments of the engines.
+    pub engine_args: Vec<String>,
+    /// More lines in the settings of the control instances.
+    pub control_settings: String,
+}
+
+/// A process with what is needed to start it again.
+#[derive(Debug)]
+struct Process {
+    program: PathBuf,
+    args: Vec<String>,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// The programs as processes of this machine.
+#[derive(Debug)]
+pub struct Deployment {
+    folder: PathBuf,
+    binaries: PathBuf,
+    processes: BTreeMap<String, Process>,
+    /// The addresses of the entries, by name.
+    pub entries: BTreeMap<String, SocketAddr>,
+    /// The addresses of the engines and services, by the name of their agent.
+    pub backends: BTreeMap<String, SocketAddr>,
+    /// The address of the origin.
+    pub origin: SocketAddr,
+    /// The addresses of the control instances, by name.
+    pub controls: BTreeMap<String, SocketAddr>,
+    client: HttpClient,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for process in self.processes.values_mut() {
+            if let Some(child) = &mut process.child {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if std::env::var_os("EGRET_KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Deployment {
+    /// Starts all processes of a plan, from the programs beside this one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when a file or process cannot be made.
+    pub fn start(plan: &Plan) -> io::Result<Self> {
+        let name = format!("egretgap-{:016x}", rand::random::<u64>());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(folder.join("origin"))?;
+        let count = plan.controls.len()
+            + plan.entries.len()
+            + 3 * plan.engines.len()
+            + 3 * plan.services.len()
+            + 1;
+        let mut ports = free_addresses(count)?.into_iter();
+        let mut next = || ports.next().expect("enough addresses were taken");
+        let mut deployment = Self {
+            folder,
+            binaries: binaries()?,
+            processes: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            origin: next(),
+            controls: BTreeMap::new(),
+            client: HttpClient::fresh(),
+        };
+        deployment.start_origin()?;
+        for place in &plan.controls {
+            deployment.controls.insert(place.name.clone(), next());
+        }
+        for place in &plan.controls {
+            deployment.start_control(place, &plan.control_settings)?;
+        }
+        for place in &plan.entries {
+            deployment.start_entry(place, next())?;
+        }
+        for place in &plan.engines {
+            let engine = next();
+            let mut args = vec!["engine".to_owned(), "--listen".to_owned(), engine.to_string()];
+            args.extend(plan.engine_args.iter().cloned());
+            deployment.spawn(&format!("engine-{}", place.name), "egret-standin", args)?;
+            deployment.start_agent(place, next(), next(), engine, None)?;
+        }
+        for (place, service) in &plan.services {
+            let address = next();
+            let args = ["service", "--listen", &address.to_string()].map(str::to_owned);
+            deployment.spawn(&format!("service-{}", place.name), "egret-standin", args.to_vec())?;
+            deployment.start_agent(place, next(), next(), address, Some(service))?;
+        }
+        Ok(deployment)
+    }
+
+    /// Publishes weights at the origin, and returns their digest and address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when a file cannot be written.
+    pub fn publish(
+        &self,
+        model: &str,
+        version: &str,
+        weights: &[u8],
+        chunk: u32,
+    ) -> io::Result<(String, String)> {
+        let manifest = Manifest::of(model, version, weights, chunk);
+        let folder = self.folder.join("origin").join(model).join(version);
+        fs::create_dir_all(&folder)?;
+        fs::write(folder.join("manifest.json"), serde_json::to_vec(&manifest)?)?;
+        fs::write(folder.join("weights"), weights)?;
+        let origin = format!("http://{}/{model}/{version}", self.origin);
+        Ok((manifest.digest().to_string(), origin))
+    }
+
+    /// Runs `egretctl` with the addresses of the entries, and returns what it prints.
+    ///
+    /// # Errors
+    ///
+    /// Returns what it printed on standard error when it does not succeed.
+    pub async fn ctl(&self, args: &[&str]) -> Result<String, String> {
+        let mut command = tokio::process::Command::new(self.binaries.join("egretctl"));
+        for entry in self.entries.values() {
+            command.arg("--entry").arg(entry.to_string());
+        }
+        let output = command.args(args).output().await.map_err(|error| error.to_string())?;
+        if output.status.success() {
+            Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+        } else {
+            Err(String::from_utf8_lossy(&output.stderr).into_owned())
+        }
+    }
+
+    /// Writes a file into the deployment's folder, and returns its path.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the file cannot be written.
+    pub fn write(&self, name: &str, text: &str) -> io::Result<String> {
+        let path = self.folder.join(name);
+        fs::write(&path, text)?;
+        Ok(path.display().to_string())
+    }
+
+    /// Returns the state that operators see, from any entry that replies.
+    pub async fn status(&self) -> Option<Value> {
+        for entry in self.entries.values() {
+            let path = "/admin/v1/status";
+            let reply =
+                ask(&self.client, Method::GET, *entry, path, &[], String::new(), ASK_TIMEOUT).await;
+            if let Ok(reply) = reply
+                && reply.status.is_success()
+            {
+                return Some(reply.json());
+            }
+        }
+        None
+    }
+
+    /// Waits until the state that operators see is as wanted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last state when it is not as wanted in time.
+    pub async fn wait_for(
+        &self,
+        limit: Duration,
+        wanted: impl Fn(&Value) -> bool,
+    ) -> Result<Value, Value> {
+        let deadline = Instant::now() + limit;
+        loop {
+            let status = self.status().await.unwrap_or_default();
+            if wanted(&status) {
+                return Ok(status);
+            }
+            if Instant::now() >= deadline {
+                return Err(status);
+            }
+            sleep(LOOK_PERIOD).await;
+        }
+    }
+
+    /// Asks a stand-in for what it counted.
+    pub async fn stats(&self, address: SocketAddr) -> Value {
+        let reply =
+            ask(&self.client, Method::GET, address, "/stats", &[], String::new(), ASK_TIMEOUT)
+                .await;
+        reply.map(|reply| reply.json()).unwrap_or_default()
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        let child = self.processes.get(name).and_then(|process| process.child.as_ref());
+        let pid = child.and_then(|child| i32::try_from(child.id()).ok()).and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills a process without a warning.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(mut child) = self.processes.get_mut(name).and_then(|p| p.child.take()) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Starts a process again with the same settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when it cannot be started.
+    pub fn restart(&mut self, name: &str) -> io::Result<()> {
+        self.kill(name);
+        match self.processes.get_mut(name) {
+            Some(process) => process.start(),
+            None => Err(io::Error::other(format!("no process {name}"))),
+        }
+    }
+
+    /// Empties the data folder of a process, as a lost disk would.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the folder cannot be made anew.
+    pub fn lose_data(&self, name: &str) -> io::Result<()> {
+        let data = self.folder.join(name).join("data");
+        fs::remove_dir_all(&data)?;
+        fs::create_dir_all(&data)
+    }
+
+    /// Asks a process to stop gracefully, and returns its exit code.
+    pub async fn terminate(&mut self, name: &str, limit: Duration) -> Option<i32> {
+        self.signal(name, Signal::TERM);
+        let deadline = Instant::now() + limit;
+        let child = self.processes.get_mut(name)?.child.as_mut()?;
+        loop {
+            if let Ok(Some(status)) = child.try_wait() {
+                return status.code();
+            }
+            if Instant::now() >= deadline {
+                return None;
+            }
+            sleep(LOOK_PERIOD).await;
+        }
+    }
+
+    /// Returns the names of the processes.
+    #[must_use]
+    pub fn names(&self) -> Vec<String> {
+        self.processes.keys().cloned().collect()
+    }
+
+    /// Returns the ids of the processes that were started and not killed.
+    #[must_use]
+    pub fn ids(&self) -> Vec<u32> {
+        self.processes.values().filter_map(|p| p.child.as_ref()).map(Child::id).collect()
+    }
+
+    /// Returns the log of a process.
+    #[must_use]
+    pub fn log(&self, name: &str) -> String {
+        let log = self.processes.get(name).map(|process| process.log.clone());
+        log.and_then(|log| fs::read_to_string(log).ok()).unwrap_or_default()
+    }
+
+    fn start_origin(&mut self) -> io::Result<()> {
+        let folder = self.folder.join("origin").display().to_string();
+        let listen = self.origin.to_string();
+        let args = ["origin", "--listen", &listen, "--folder", &folder].map(str::to_owned);
+        self.spawn("origin", "egret-standin", args.to_vec())
+    }
+
+    fn start_control(&mut self, place: &Place, more: &str) -> io::Result<()> {
+        let data = self.data_folder(&place.name)?;
+        let peers: String = self
+            .controls
+            .iter()
+            .map(|(name, address)| format!("  - {{ name: {name}, address: \"{address}\" }}\n"))
+            .collect();
+        let settings = format!(
+            "name: {}\ndata_centre: {}\nlisten: {}\ndata_folder: {}\npeers:\n{peers}{more}",
+            place.name,
+            place.data_centre,
+            self.controls[&place.name],
+            data.display(),
+        );
+        self.spawn_with(&place.name, "egret-control", &settings)
+    }
+
+    fn start_entry(&mut self, place: &Place, address: SocketAddr) -> io::Result<()> {
+        self.entries.insert(place.name.clone(), address);
+        let settings = format!(
+            "name: {}\ndata_centre: {}\nlisten: {address}\ncontrol: {}\n",
+            place.name,
+            place.data_centre,
+            self.control_list(),
+        );
+        self.spawn_with(&place.name, "egret-entry", &settings)
+    }
+
+    fn start_agent(
+        &mut self,
+        place: &Place,
+        listen: SocketAddr,
+        peer: SocketAddr,
+        backend: SocketAddr,
+        service: Option<&String>,
+    ) -> io::Result<()> {
+        self.backends.insert(place.name.clone(), backend);
+        let data = self.data_folder(&place.name)?;
+        let kind = match service {
+            Some(service) => format!("kind: service, service: {service}"),
+            None => "kind: model, fencing: true".to_owned(),
+        };
+        let settings = format!(
+            "name: {}\ndata_centre: {}\nlisten: {listen}\npeer_listen: {peer}\ncontrol: {}\n\
+             data_folder: {}\nbackend: {{ {kind}, address: \"{backend}\", limit: 8 }}\n",
+            place.name,
+            place.data_centre,
+            self.control_list(),
+            data.display(),
+        );
+        self.spawn_with(&place.name, "egret-agent", &settings)
+    }
+
+    fn control_list(&self) -> String {
+        let list: Vec<_> = self.controls.values().map(|address| format!("\"{address}\"")).collect();
+        format!("[{}]", list.join(", "))
+    }
+
+    fn data_folder(&self, name: &str) -> io::Result<PathBuf> {
+        let data = self.folder.join(name).join("data");
+        fs::create_dir_all(&data)?;
+        Ok(data)
+    }
+
+    fn spawn_with(&mut self, name: &str, program: &str, settings: &str) -> io::Result<()> {
+        let folder = self.folder.join(name);
+        fs::create_dir_all(&folder)?;
+        let path = folder.join("settings.yaml");
+        fs::write(&path, settings)?;
+        let args = vec!["--config".to_owned(), path.display().to_string()];
+        self.spawn(name, program, args)
+    }
+
+    fn spawn(&mut self, name: &str, program: &str, args: Vec<String>) -> io::Result<()> {
+        let folder = self.folder.join(name);
+        fs::create_dir_all(&folder)?;
+        let mut process = Process {
+            program: self.binaries.join(program),
+            args,
+            log: folder.join("log"),
+            child: None,
+        };
+        process.start()?;
+        self.processes.insert(name.to_owned(), process);
+        Ok(())
+    }
+}
+
+impl Process {
+    fn start(&mut self) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .args(&self.args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+}
+
+/// Takes free addresses from the kernel.
+///
+/// # Errors
+///
+/// Returns the system's error when it has none.
+pub fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
+    // All are held until all are known, so that none is given twice.
+    let listeners: Vec<_> = (0..count)
+        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
+        .collect::<io::Result<_>>()?;
+    listeners.iter().map(TcpListener::local_addr).collect()
+}
+
+/// Returns the folder with the programs, that of this one or its parent.
+fn binaries() -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let beside = own.parent().unwrap_or(Path::new("."));
+    let folders = [Some(beside), beside.parent()];
+    let found = folders.into_iter().flatten().find(|folder| folder.join("egret-control").exists());
+    found.map(Path::to_owned).ok_or_else(|| {
+        io::Error::other("the programs are not built; run `cargo build --workspace` first")
+    })
+}
--- a/crates/egret_consensus/src/node.rs
+++ b/crates/egret_consensus/src/node.rs
@@ -245,7 +245,7 @@
                 self.count_pre_vote(message.from, message.term, granted, now);
             }
             Body::VoteReply { granted } => {
-                self.count_vote(message.from, message.term, granted, now)
+                self.count_vote(message.from, message.term, granted, now);
             }
             Body::Append(append) => self.append(message.from, message.term, append, now),
             Body::AppendReply { accepted, index, sent } => {
--- a/crates/egret_consensus/tests/cluster.rs
+++ b/crates/egret_consensus/tests/cluster.rs
@@ -116,7 +116,7 @@
         self.deliver();
         let ids: Vec<_> = self.instances.keys().copied().collect();
         for id in ids {
-            self.drive(id, |node, now| node.tick(now));
+            self.drive(id, egret_consensus::Node::tick);
         }
         self.check_leases();
     }
--- a/crates/egret_control/src/claims.rs
+++ b/crates/egret_control/src/claims.rs
@@ -49,7 +49,7 @@
         &mut self,
         key: ClaimKey,
         owner: SessionId,
-        request: CallerRequest,
+        request: &CallerRequest,
         at: UnixMillis,
         alive: impl Fn(&SessionId) -> bool,
     ) -> ClaimState {
--- a/crates/egret_control/src/commands.rs
+++ b/crates/egret_control/src/commands.rs
@@ -19,7 +19,7 @@
             Command::Leave { session, reason } => self.leave(session, reason),
             Command::Claim { key, session, request, at } => {
                 let alive = |session: &SessionId| self.sessions.contains_key(session);
-                Reply::Claim(self.claims.claim(key, session, request, at, alive))
+                Reply::Claim(self.claims.claim(key, session, &request, at, alive))
             }
             Command::Settle { key, attempt, outcome } => {
                 self.claims.settle(&key, attempt, outcome);
--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -203,7 +203,7 @@
             self.journal.append(ready.hard_state, ready.entries)?;
         }
         for entry in ready.committed {
-            self.apply(entry);
+            self.apply(&entry);
         }
         self.revision.send_if_modified(|known| {
             let revision = self.state.view().revision;
@@ -213,7 +213,7 @@
         Ok(ready.messages)
     }
 
-    fn apply(&mut self, entry: LogEntry) {
+    fn apply(&mut self, entry: &LogEntry) {
         let reply = match &entry.payload {
             Payload::Empty => None,
             Payload::Membership(membership) => {
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -64,7 +64,7 @@
     async fn call(&self, request: Request) -> Answer<Reply> {
         match request {
             Request::Command(command) => {
-                self.submit(|reply| Input::Propose(stamped(command), reply)).await
+                self.submit(|reply| Input::Propose(stamped(*command), reply)).await
             }
             Request::Query(query) => self.query(query).await,
             Request::AddMember(name) => {
--- /dev/null
+++ b/crates/egret_control/tests/state.rs
@@ -0,0 +1,292 @@
+//! What the control state promises, command by command.
+
+use egret_control::{Holders, State};
+use egret_record::{
+    BackendName, BackendRole, DataCentre, EntryName, Fence, IdempotencyKey, OperationId, Phase,
+    Record, RecordName, Revision, SessionId, VersionDigest, parse_record,
+};
+use egret_rpc::{
+    CallerRequest, ClaimKey, ClaimOutcome, ClaimState, Command, Holder, LeaveReason, Operation,
+    Reply, StoredAnswer, UnixMillis,
+};
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn record(version: &str, replicas: u32) -> Record {
+    let digest = VersionDigest::of(version.as_bytes());
+    let text = format!(
+        "schema: 1\nname: drafting\nmodel: drafts\nversion: {version}\ndigest: {digest}\n\
+         origin: http://127.0.0.1:1/m\nreplicas: {replicas}\n"
+    );
+    parse_record("record", &text).expect("the record is valid")
+}
+
+fn put(state: &mut State, id: &str, expected: Option<u64>, record: Record) -> Reply {
+    state.apply(Command::Amend {
+        id: OperationId::new(id).expect("the id is valid"),
+        expected: expected.map(Revision),
+        operation: Operation::Put(record),
+    })
+}
+
+fn join_backend(state: &mut State, number: u32) -> SessionId {
+    let reply = state.apply(Command::Join(Holder::Backend {
+        name: backend(number),
+        data_centre: DataCentre::new(["a", "b"][number as usize % 2]).expect("valid"),
+        address: ([127, 0, 0, 1], 1).into(),
+        peer_address: ([127, 0, 0, 1], 2).into(),
+        role: BackendRole::Model,
+        limit: 8,
+    }));
+    session_of(&reply)
+}
+
+fn join_entry(state: &mut State, name: &str) -> SessionId {
+    let reply = state.apply(Command::Join(Holder::Entry {
+        name: EntryName::new(name).expect("valid"),
+        data_centre: DataCentre::new("a").expect("valid"),
+        address: ([127, 0, 0, 1], 1).into(),
+    }));
+    session_of(&reply)
+}
+
+fn session_of(reply: &Reply) -> SessionId {
+    match reply {
+        Reply::Joined { session } => *session,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn backend(number: u32) -> BackendName {
+    BackendName::new(&format!("runner-{number}")).expect("valid")
+}
+
+fn fence(state: &State, number: u32) -> Fence {
+    let order = state.view().backends[&backend(number)].assignment.as_ref();
+    order.expect("the backend server has an order").fence
+}
+
+fn report(state: &mut State, session: SessionId, fence: Fence, phase: Phase) -> Reply {
+    state.apply(Command::Report { session, fence, phase })
+}
+
+#[test]
+fn equal_revisions_give_one_winner_and_one_conflict_that_names_it() {
+    let mut state = State::default();
+    assert!(matches!(put(&mut state, "one", Some(0), record("v1", 1)), Reply::Accepted { .. }));
+    let reply = put(&mut state, "two", Some(0), record("v2", 1));
+    let Reply::Conflict { revision, winner } = reply else { panic!("{reply:?}") };
+    assert_eq!(winner, OperationId::new("one"));
+    assert!(matches!(
+        put(&mut state, "three", Some(revision.0), record("v2", 1)),
+        Reply::Accepted { .. }
+    ));
+}
+
+#[test]
+fn resend_gets_the_first_outcome() {
+    let mut state = State::default();
+    let first = put(&mut state, "one", Some(0), record("v1", 1));
+    let _ = put(&mut state, "two", None, record("v2", 1));
+    let again = put(&mut state, "one", Some(0), record("v1", 1));
+    assert_eq!(again, first);
+    let name = RecordName::new("drafting").unwrap();
+    assert_eq!(state.view().records[&name].record, record("v2", 1));
+    assert_eq!(state.history(&name).len(), 2);
+}
+
+#[test]
+fn two_records_cannot_take_the_same_model() {
+    let mut state = State::default();
+    let _ = put(&mut state, "one", None, record("v1", 1));
+    let mut rival = record("v1", 1);
+    rival.name = RecordName::new("other").unwrap();
+    assert!(matches!(put(&mut state, "two", None, rival), Reply::Refused { .. }));
+}
+
+#[test]
+fn replicas_are_spread_and_replaced_when_one_leaves() {
+    let mut state = State::default();
+    let sessions: Vec<_> = (0..6).map(|number| join_backend(&mut state, number)).collect();
+    let _ = put(&mut state, "one", None, record("v1", 4));
+    let assigned = |state: &State, centre: &str| {
+        let backends = state.view().backends.values();
+        let here = backends.filter(|b| b.data_centre.as_str() == centre);
+        here.filter(|b| b.assignment.is_some()).count()
+    };
+    assert_eq!((assigned(&state, "a"), assigned(&state, "b")), (2, 2));
+    let gone = (0..6).find(|n| state.view().backends[&backend(*n)].assignment.is_some()).unwrap();
+    let session = sessions[gone as usize];
+    state.apply(Command::Leave { session, reason: LeaveReason::LeaseExpired });
+    assert_eq!((assigned(&state, "a"), assigned(&state, "b")), (2, 2));
+}
+
+#[test]
+fn upgrade_switches_few_replicas_at_a_time() {
+    let mut state = State::default();
+    let sessions: Vec<_> = (0..4).map(|number| join_backend(&mut state, number)).collect();
+    let _ = put(&mut state, "one", None, record("v1", 4));
+    let (old, new) = (VersionDigest::of(b"v1"), VersionDigest::of(b"v2"));
+    for (number, session) in (0..).zip(&sessions) {
+        let fence = fence(&state, number);
+        report(&mut state, *session, fence, Phase::Live(old));
+    }
+    let _ = put(&mut state, "two", None, record("v2", 4));
+    let activating = |state: &State| {
+        let orders = state.view().backends.values().filter_map(|b| b.assignment.clone());
+        orders.filter(|order| order.activate).count()
+    };
+    assert_eq!(activating(&state), 0, "what serves goes on until the new version is staged");
+    for (number, session) in (0..).zip(&sessions) {
+        let fence = fence(&state, number);
+        report(&mut state, *session, fence, Phase::Staged { digest: new, serving: Some(old) });
+    }
+    assert_eq!(activating(&state), 1, "a quarter of the replicas switches at once");
+    for _ in 0..4 {
+        let number = (0..4)
+            .find(|number| {
+                let known = &state.view().backends[&backend(*number)];
+                known.assignment.as_ref().unwrap().activate && known.phase != Phase::Live(new)
+            })
+            .expect("one is switching");
+        let fence = fence(&state, number);
+        report(&mut state, sessions[number as usize], fence, Phase::Live(new));
+    }
+    assert!(state.view().backends.values().all(|b| b.phase == Phase::Live(new)));
+}
+
+#[test]
+fn report_under_an_old_fence_changes_nothing() {
+    let mut state = State::default();
+    let session = join_backend(&mut state, 0);
+    let _ = put(&mut state, "one", None, record("v1", 1));
+    let old = fence(&state, 0);
+    let _ = put(&mut state, "two", None, record("v2", 1));
+    report(&mut state, session, old, Phase::Live(VersionDigest::of(b"v1")));
+    assert_eq!(state.view().backends[&backend(0)].phase, Phase::Idle);
+}
+
+#[test]
+fn restarted_agent_gets_a_higher_fence_and_its_old_session_ends() {
+    let mut state = State::default();
+    let first = join_backend(&mut state, 0);
+    let _ = put(&mut state, "one", None, record("v1", 1));
+    let old = fence(&state, 0);
+    let second = join_backend(&mut state, 0);
+    assert!(fence(&state, 0) > old);
+    assert_eq!(report(&mut state, first, old, Phase::Idle), Reply::SessionGone);
+    assert!(matches!(report(&mut state, second, old, Phase::Idle), Reply::Accepted { .. }));
+}
+
+fn claim(state: &mut State, session: SessionId, body: &str, attempt: u64, at: u64) -> ClaimState {
+    let digest = VersionDigest::of(body.as_bytes());
+    let request = CallerRequest { digest, attempt };
+    let command = Command::Claim { key: key(), session, request, at: UnixMillis(at) };
+    match state.apply(command) {
+        Reply::Claim(state) => state,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn key() -> ClaimKey {
+    ClaimKey {
+        record: RecordName::new("register").expect("valid"),
+        key: IdempotencyKey::new("tree-17").expect("valid"),
+    }
+}
+
+fn answer() -> StoredAnswer {
+    StoredAnswer { status: 200, content_type: "text/plain".to_owned(), body: b"done".to_vec() }
+}
+
+#[test]
+fn claim_is_granted_once_until_it_certainly_did_not_run() {
+    let mut state = State::default();
+    let (one, two) = (join_entry(&mut state, "one"), join_entry(&mut state, "two"));
+    assert_eq!(claim(&mut state, one, "x", 1, 0), ClaimState::Granted);
+    assert_eq!(claim(&mut state, one, "x", 1, 0), ClaimState::Granted, "the reply was lost");
+    assert_eq!(claim(&mut state, two, "x", 2, 0), ClaimState::InProgress);
+    assert_eq!(claim(&mut state, two, "y", 3, 0), ClaimState::KeyReused);
+    state.apply(Command::Settle { key: key(), attempt: 1, outcome: ClaimOutcome::NotRun });
+    assert_eq!(claim(&mut state, two, "x", 4, 0), ClaimState::Granted);
+    let outcome = ClaimOutcome::Answered(answer());
+    state.apply(Command::Settle { key: key(), attempt: 4, outcome });
+    assert_eq!(claim(&mut state, one, "x", 5, 0), ClaimState::Answered(answer()));
+}
+
+#[test]
+fn claim_of_a_dead_entry_is_unknown_and_never_granted_again() {
+    let mut state = State::default();
+    let (one, two) = (join_entry(&mut state, "one"), join_entry(&mut state, "two"));
+    assert_eq!(claim(&mut state, one, "x", 1, 0), ClaimState::Granted);
+    state.apply(Command::Leave { session: one, reason: LeaveReason::LeaseExpired });
+    assert_eq!(claim(&mut state, two, "x", 2, 0), ClaimState::Unknown);
+    // A late word that nothing ran comes after callers were told otherwise.
+    state.apply(Command::Settle { key: key(), attempt: 1, outcome: ClaimOutcome::NotRun });
+    assert_eq!(claim(&mut state, two, "x", 3, 0), ClaimState::Unknown);
+    let outcome = ClaimOutcome::Answered(answer());
+    state.apply(Command::Settle { key: key(), attempt: 1, outcome });
+    assert_eq!(claim(&mut state, two, "x", 4, 0), ClaimState::Answered(answer()));
+}
+
+#[test]
+fn key_older_than_outcomes_are_kept_is_refused_and_not_run_again() {
+    /// A day and a second, in milliseconds.
+    const LATER: u64 = 86_401_000;
+    let mut state = State::default();
+    let one = join_entry(&mut state, "one");
+    assert_eq!(claim(&mut state, one, "x", 1, 0), ClaimState::Granted);
+    assert_eq!(claim(&mut state, one, "x", 2, LATER), ClaimState::Expired);
+}
+
+#[test]
+fn snapshot_restores_the_same_state() {
+    let mut state = State::default();
+    let one = join_entry(&mut state, "one");
+    for number in 0..4 {
+        join_backend(&mut state, number);
+    }
+    let _ = put(&mut state, "one", None, record("v1", 2));
+    let _ = claim(&mut state, one, "x", 1, 0);
+    let bytes = state.snapshot();
+    assert_eq!(State::restore(&bytes).unwrap().snapshot(), bytes);
+}
+
+#[test]
+fn holder_that_follows_deltas_sees_what_a_snapshot_shows() {
+    let mut state = State::default();
+    let mut view = egret_record::View::default();
+    for number in 0..20 {
+        join_backend(&mut state, number);
+        let _ = put(&mut state, &format!("op-{number}"), None, record(&format!("v{number}"), 3));
+        if number % 3 == 0 {
+            view.apply(state.delta(view.revision)).unwrap();
+        }
+    }
+    view.apply(state.delta(view.revision)).unwrap();
+    assert_eq!(&view, state.view());
+}
+
+#[test]
+fn revision_is_in_force_once_confirmed_or_expired() {
+    let lease = Duration::from_secs(1);
+    let at = Duration::from_millis;
+    let mut holders = Holders::new(lease, at(0));
+    let (one, two) = (SessionId(1), SessionId(2));
+    holders.confirm(one, Revision(5), at(900));
+    holders.confirm(two, Revision(4), at(900));
+    assert!(!holders.in_force(Revision(4), at(950)), "an earlier leader's leases may last");
+    assert!(holders.in_force(Revision(4), at(1_000)));
+    assert!(!holders.in_force(Revision(5), at(1_000)));
+    assert!(holders.in_force(Revision(5), at(1_900)), "the other lease has run out");
+    assert_eq!(holders.expired([one, two, SessionId(3)].into_iter(), at(1_899)), [SessionId(3)]);
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = State::restore(&bytes);
+        let _ = egret_rpc::decode::<Command>(&bytes);
+        let _ = egret_rpc::decode::<egret_record::Delta>(&bytes);
+    }
+}
--- a/crates/egret_entry/src/admin_api.rs
+++ b/crates/egret_entry/src/admin_api.rs
@@ -204,7 +204,7 @@
         let expected: Option<u64> = req.header(headers::EXPECTED);
         let expected = expected.map(Revision);
         let command = Command::Amend { id, expected, operation };
-        self.accepted(self.call(ControlRequest::Command(command)).await?).await
+        self.accepted(self.call(command.into()).await?).await
     }
 
     /// Waits until an accepted change is in force, and says whether it is.
@@ -257,7 +257,8 @@
     let body = req.incoming().map_err(|_| bad_request("the request has no body"))?;
     let body = read_whole(body, RECORD_BYTES).await.map_err(|e| bad_request(&e.to_string()))?;
     let text = std::str::from_utf8(&body).map_err(|_| bad_request("the record is not UTF-8"))?;
-    parse_record("record", text).map_err(|error| bad_request(&format!("{error}; {}", error.remedy())))
+    parse_record("record", text)
+        .map_err(|error| bad_request(&format!("{error}; {}", error.remedy())))
 }
 
 fn record_name(req: &Request) -> Result<RecordName, Refusal> {
--- a/crates/egret_entry/src/claim.rs
+++ b/crates/egret_entry/src/claim.rs
@@ -89,7 +89,7 @@
         request: CallerRequest { digest: call.digest(), attempt },
         at: UnixMillis(0),
     };
-    match dispatch.control.call(Request::Command(command), deadline).await {
+    match dispatch.control.call(command.into(), deadline).await {
         Ok(Reply::Claim(state)) => Ok(state),
         // Nothing was sent, though the claim may stand; the caller may send it again.
         Ok(_) | Err(_) => Err(no_control()),
@@ -127,7 +127,7 @@
         Err(refusal) if refusal.ran == Ran::NotRun => ClaimOutcome::NotRun,
         Err(_) => ClaimOutcome::Unknown,
     };
-    let request = Request::Command(Command::Settle { key, attempt, outcome });
+    let request = Request::from(Command::Settle { key, attempt, outcome });
     if let Err(error) = dispatch.control.call(request, Instant::now() + SETTLE_TIMEOUT).await {
         log::error!("event=claim_not_settled error=\"{error}\"");
     }
--- a/crates/egret_entry/src/program.rs
+++ b/crates/egret_entry/src/program.rs
@@ -119,7 +119,7 @@
     log::info!("event=draining");
     let session = *dispatch.session.borrow();
     if let Some(session) = session {
-        let drain = Request::Command(Command::Drain(session));
+        let drain = Request::from(Command::Drain(session));
         let _ = dispatch.control.call(drain, Instant::now() + STOP_TIMEOUT).await;
         // Callers keep this entry's address for so long, and are served meanwhile.
         tokio::time::sleep(keep).await;
@@ -128,6 +128,6 @@
     dispatch.idle().await;
     if let Some(session) = session {
         let leave = Command::Leave { session, reason: LeaveReason::Shutdown };
-        let _ = dispatch.control.call(Request::Command(leave), Instant::now() + STOP_TIMEOUT).await;
+        let _ = dispatch.control.call(Request::from(leave), Instant::now() + STOP_TIMEOUT).await;
     }
 }
--- a/crates/egret_route/src/gate.rs
+++ b/crates/egret_route/src/gate.rs
@@ -82,6 +82,7 @@
     }
 
     /// Gives a permit back; `answered` tells whether the request ended whole.
+    #[expect(clippy::needless_pass_by_value, reason = "a permit is given back only once")]
     pub fn release(&mut self, permit: Permit, answered: bool) {
         let Permit(()) = permit;
         self.running = self.running.saturating_sub(1);
--- /dev/null
+++ b/crates/egret_route/tests/routing.rs
@@ -0,0 +1,110 @@
+//! Gates, choices and refusals.
+
+use std::{net::SocketAddr, time::Duration};
+
+use egret_record::BackendName;
+use egret_route::{Candidate, Code, Gate, Hints, Ran, Refusal, Warmth, choose};
+use proptest::prelude::*;
+use rand::{SeedableRng as _, rngs::SmallRng};
+
+fn candidate(number: u16, near: bool) -> Candidate {
+    Candidate {
+        name: BackendName::new(&format!("runner-{number}")).expect("valid"),
+        address: SocketAddr::from(([127, 0, 0, 1], number)),
+        limit: 4,
+        near,
+    }
+}
+
+#[test]
+fn cold_gate_widens_with_answers_only() {
+    let mut gate = Gate::new(8);
+    for _ in 0..20 {
+        let permit = gate.admit().expect("there is room");
+        gate.release(permit, false);
+    }
+    assert_eq!(gate.limit(), 1, "requests without an answer prove nothing");
+    let mut answered = 0;
+    while gate.warmth() != Warmth::Warm {
+        let permit = gate.admit().expect("there is room");
+        gate.release(permit, true);
+        answered += 1;
+        assert!(answered < 100);
+    }
+    assert_eq!(gate.limit(), 8);
+}
+
+#[test]
+fn slow_first_token_shows_a_cold_engine() {
+    let mut gate = Gate::new(8);
+    for _ in 0..10 {
+        let permit = gate.admit().expect("there is room");
+        gate.observe(Duration::from_millis(80));
+        gate.release(permit, true);
+    }
+    assert_eq!(gate.warmth(), Warmth::Warm);
+    gate.observe(Duration::from_millis(900));
+    assert_eq!(gate.limit(), 1);
+}
+
+#[test]
+fn near_backend_servers_go_first_until_they_are_full() {
+    let candidates = [candidate(1, true), candidate(2, false)];
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut hints = Hints::default();
+    for _ in 0..4 {
+        let chosen = choose(&candidates, &hints, Duration::ZERO, &mut random).unwrap();
+        assert_eq!(chosen.name, candidates[0].name);
+        hints.start(&chosen.name);
+    }
+    let chosen = choose(&candidates, &hints, Duration::ZERO, &mut random).unwrap();
+    assert_eq!(chosen.name, candidates[1].name);
+}
+
+#[test]
+fn closed_backend_server_is_left_alone_for_a_while() {
+    let candidates = [candidate(1, true), candidate(2, true)];
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut hints = Hints::default();
+    hints.close(&candidates[0].name, Duration::from_millis(100), Duration::ZERO);
+    for _ in 0..50 {
+        let chosen = choose(&candidates, &hints, Duration::from_millis(50), &mut random).unwrap();
+        assert_eq!(chosen.name, candidates[1].name);
+    }
+}
+
+#[test]
+fn refusal_survives_its_body() {
+    let refusal =
+        Refusal::not_run(Code::Overloaded, "come back").retry_after(Duration::from_millis(1_200));
+    assert_eq!(refusal.retry_seconds(), Some(2));
+    assert_eq!(Refusal::parse(&refusal.body()), Some(refusal));
+    assert_eq!(Refusal::unknown(Code::BrokenAnswer, "x").ran, Ran::Unknown);
+}
+
+proptest! {
+    #[test]
+    fn gate_never_exceeds_its_bound(limit in 1_u32..20, steps in prop::collection::vec((any::<bool>(), any::<bool>(), 0_u64..2_000), 0..200)) {
+        let mut gate = Gate::new(limit);
+        let mut permits = Vec::new();
+        for (admit, answered, delay) in steps {
+            if admit {
+                let before = gate.limit();
+                if let Ok(permit) = gate.admit() {
+                    permits.push(permit);
+                    prop_assert!(gate.running() <= before);
+                }
+            } else if let Some(permit) = permits.pop() {
+                gate.observe(Duration::from_millis(delay));
+                gate.release(permit, answered);
+            }
+            prop_assert!(gate.limit() <= limit && gate.limit() >= 1);
+            prop_assert_eq!(gate.running() as usize, permits.len());
+        }
+    }
+
+    #[test]
+    fn refusals_of_any_text_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Refusal::parse(&bytes);
+    }
+}
--- a/crates/egret_rpc/src/client.rs
+++ b/crates/egret_rpc/src/client.rs
@@ -215,7 +215,7 @@
 /// What a traffic thread asks of the control thread.
 #[derive(Debug)]
 enum Queued {
-    Call(Request, Instant, oneshot::Sender<Result<Reply, CallError>>),
+    Call(Box<Request>, Instant, oneshot::Sender<Result<Reply, CallError>>),
     InForce(Revision, Instant, oneshot::Sender<Result<bool, CallError>>),
 }
 
@@ -244,7 +244,7 @@
     /// Returns a [`CallError`] when no reply came.
     pub async fn call(&self, request: Request, deadline: Instant) -> Result<Reply, CallError> {
         let (sender, reply) = oneshot::channel();
-        self.ask(Queued::Call(request, deadline, sender), reply).await
+        self.ask(Queued::Call(Box::new(request), deadline, sender), reply).await
     }
 
     /// Waits until a revision is in force everywhere; tells whether it is.
--- a/crates/egret_rpc/src/connection.rs
+++ b/crates/egret_rpc/src/connection.rs
@@ -1,6 +1,6 @@
 //! Connections and listeners.
 
-use std::{future::Future, io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use capnp::capability::FromClientHook;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
@@ -69,28 +69,23 @@
 /// Serves an interface to every process that connects, until dropped.
 ///
 /// Must be awaited within a `LocalSet`.
-pub fn listen(
-    listener: TcpListener,
-    client: capnp::capability::Client,
-) -> impl Future<Output = ()> {
-    async move {
-        let mut connections = tokio::task::JoinSet::new();
-        loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    log::warn!("event=accept_failed error={error}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                    continue;
-                }
-            };
-            while connections.try_join_next().is_some() {}
-            let Ok(network) = network(stream, Side::Server) else { continue };
-            let system = RpcSystem::new(network, Some(client.clone()));
-            connections.spawn_local(async move {
-                let _ = system.await;
-            });
-        }
+pub async fn listen(listener: TcpListener, client: capnp::capability::Client) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("event=accept_failed error={error}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        while connections.try_join_next().is_some() {}
+        let Ok(network) = network(stream, Side::Server) else { continue };
+        let system = RpcSystem::new(network, Some(client.clone()));
+        connections.spawn_local(async move {
+            let _ = system.await;
+        });
     }
 }
 
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -61,7 +61,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Request {
     /// Changes the state.
-    Command(Command),
+    Command(Box<Command>),
     /// Reads the state.
     Query(Query),
     /// Adds the waiting control instance of this name.
@@ -70,6 +70,12 @@
     RemoveMember(MemberId),
 }
 
+impl From<Command> for Request {
+    fn from(command: Command) -> Self {
+        Self::Command(Box::new(command))
+    }
+}
+
 /// Who opens a session.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Holder {
--- a/crates/egret_rpc/src/session.rs
+++ b/crates/egret_rpc/src/session.rs
@@ -131,7 +131,7 @@
     }
 
     async fn join(&self) -> Option<SessionId> {
-        let request = Request::Command(Command::Join(self.holder.clone()));
+        let request = Request::from(Command::Join(self.holder.clone()));
         match self.client.call(&request, Instant::now() + POLL_TIMEOUT).await {
             Ok(Reply::Joined { session }) => Some(session),
             Ok(reply) => {
--- a/crates/egret_standin/src/engine.rs
+++ b/crates/egret_standin/src/engine.rs
@@ -64,6 +64,8 @@
 /// What an engine counted.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct EngineStats {
+    /// Requests that came.
+    pub started: u64,
     /// Requests that run.
     pub running: u32,
     /// Most requests that ran at once.
@@ -203,6 +205,7 @@
 
     fn start(&self, cold: bool) -> Running {
         let mut state = self.lock();
+        state.stats.started += 1;
         state.stats.running += 1;
         state.stats.peak = state.stats.peak.max(state.stats.running);
         if cold && state.stats.running > self.options.cold_limit {
--- a/crates/egret_store/tests/damage.rs
+++ b/crates/egret_store/tests/damage.rs
@@ -14,7 +14,7 @@
 impl Folder {
     fn new() -> Self {
         let path = std::env::temp_dir().join(format!("egret-store-{:016x}", rand_u64()));
-        fs::create_dir_all(&path).unwrap();
+        fs::create_dir_all(&path).expect("a temporary folder can be made");
         Self(path)
     }
 }
@@ -41,11 +41,11 @@
 }
 
 fn journal_of(folder: &Folder, count: u64) -> Vec<u64> {
-    let mut journal = Journal::create(&folder.0, &first()).unwrap();
+    let mut journal = Journal::create(&folder.0, &first()).expect("a journal can be made");
     let mut ends = vec![journal.log_bytes()];
     for index in 1..=count {
         let hard = HardState { term: Term(index), vote: None };
-        journal.append(Some(hard), vec![entry(index, index)]).unwrap();
+        journal.append(Some(hard), vec![entry(index, index)]).expect("the journal can be written");
         ends.push(journal.log_bytes());
     }
     ends
--- a/crates/egret_telemetry/src/program.rs
+++ b/crates/egret_telemetry/src/program.rs
@@ -51,7 +51,7 @@
     let path: &PathBuf = matches.get_one("config").expect("clap demands it");
     let settings: S = match load(path) {
         Ok(settings) => settings,
-        Err(error) => return fail(miette::Report::from(*error), EXIT_USAGE),
+        Err(error) => return fail(&miette::Report::from(*error), EXIT_USAGE),
     };
     if matches.get_flag("check") {
         println!("{}: the settings can be used", path.display());
@@ -60,7 +60,7 @@
     let level = matches.get_one::<String>("log-level").expect("clap has a default");
     let _logs = match start_logs(level) {
         Ok(logs) => logs,
-        Err(error) => return fail(error.into(), EXIT_USAGE),
+        Err(error) => return fail(&error.into(), EXIT_USAGE),
     };
     let runtime = match threads {
         Threads::One => tokio::runtime::Builder::new_current_thread().enable_all().build(),
@@ -69,7 +69,7 @@
     let runtime = runtime.expect("the system allows a runtime");
     match runtime.block_on(async { run(settings, Box::pin(stopped())).await }) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(error.into(), EXIT_FAILED),
+        Err(error) => fail(&error.into(), EXIT_FAILED),
     }
 }
 
@@ -100,7 +100,7 @@
         )
 }
 
-fn fail(error: miette::Report, code: u8) -> ExitCode {
+fn fail(error: &miette::Report, code: u8) -> ExitCode {
     eprintln!("{error:?}");
     ExitCode::from(code)
 }
--- a/crates/egret_weights/src/chunk_store.rs
+++ b/crates/egret_weights/src/chunk_store.rs
@@ -94,7 +94,7 @@
             // A torn manifest; it is fetched again.
             return Ok(None);
         };
-        VersionFolder::open(folder, manifest).map(Some)
+        VersionFolder::open(&folder, manifest).map(Some)
     }
 
     /// Makes the folder of a version; versions outside `keep` give way to it.
@@ -118,7 +118,7 @@
         let json = serde_json::to_vec(manifest).expect("plain data always encodes");
         let path = folder.join(MANIFEST_FILE);
         fs::write(&path, json).map_err(at(&path))?;
-        VersionFolder::open(folder, manifest.clone())
+        VersionFolder::open(&folder, manifest.clone())
     }
 
     /// Removes the versions that `keep` does not want.
@@ -163,7 +163,7 @@
 }
 
 impl VersionFolder {
-    fn open(folder: PathBuf, manifest: Manifest) -> Result<Self, StoreError> {
+    fn open(folder: &Path, manifest: Manifest) -> Result<Self, StoreError> {
         let path = folder.join(WEIGHTS_FILE);
         let file = OpenOptions::new()
             .read(true)
--- /dev/null
+++ b/crates/egret_weights/tests/weights.rs
@@ -0,0 +1,162 @@
+//! Chunks on disk, and the trees that carry them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    path::PathBuf,
+};
+
+use egret_record::{BackendName, DataCentre, VersionDigest};
+use egret_weights::{ChunkStore, Holder, Manifest, Parent, StoreError, parents};
+use proptest::prelude::*;
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        use std::hash::{BuildHasher as _, RandomState};
+        let number = RandomState::new().hash_one(0);
+        let path = std::env::temp_dir().join(format!("egret-weights-{number:016x}"));
+        fs::create_dir_all(&path).expect("a temporary folder can be made");
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn weights(seed: u8) -> Vec<u8> {
+    (0..1_000_u32).map(|at| (at as u8).wrapping_mul(seed)).collect()
+}
+
+fn chunk(weights: &[u8], index: usize) -> &[u8] {
+    weights.chunks(64).nth(index).expect("the chunk exists")
+}
+
+#[test]
+fn corrupt_chunk_is_refused_and_the_whole_is_checked() {
+    let folder = Folder::new();
+    let store = ChunkStore::open(&folder.0, 10_000).unwrap();
+    let weights = weights(3);
+    let manifest = Manifest::of("m", "v1", &weights, 64);
+    let mut version = store.create(&manifest, &BTreeSet::new()).unwrap();
+    let mut bad = chunk(&weights, 0).to_vec();
+    bad[5] ^= 1;
+    assert!(matches!(version.insert(0, &bad), Err(StoreError::Corrupt { index: 0 })));
+    assert!(version.sealer().unwrap().run().is_err(), "an incomplete version is not sealed");
+    for index in manifest.indexes() {
+        version.insert(index, chunk(&weights, index as usize)).unwrap();
+    }
+    assert!(version.is_complete());
+    version.sealer().unwrap().run().unwrap();
+}
+
+#[test]
+fn restart_keeps_whole_chunks_and_drops_torn_ones() {
+    let folder = Folder::new();
+    let store = ChunkStore::open(&folder.0, 10_000).unwrap();
+    let weights = weights(3);
+    let manifest = Manifest::of("m", "v1", &weights, 64);
+    let mut version = store.create(&manifest, &BTreeSet::new()).unwrap();
+    for index in 0..8 {
+        version.insert(index, chunk(&weights, index as usize)).unwrap();
+    }
+    let path = version.weights().to_owned();
+    drop(version);
+    let mut bytes = fs::read(&path).unwrap();
+    bytes[3 * 64 + 9] ^= 1;
+    fs::write(&path, bytes).unwrap();
+    let version = store.find(manifest.digest()).unwrap().unwrap();
+    assert_eq!(version.held(), &BTreeSet::from([0, 1, 2, 4, 5, 6, 7]));
+}
+
+#[test]
+fn space_is_bounded_and_old_versions_give_way() {
+    let folder = Folder::new();
+    let store = ChunkStore::open(&folder.0, 2_500).unwrap();
+    let manifests: Vec<_> =
+        (1..=3).map(|at| Manifest::of("m", &format!("v{at}"), &weights(at), 64)).collect();
+    drop(store.create(&manifests[0], &BTreeSet::new()).unwrap());
+    let serving = BTreeSet::from([manifests[0].digest()]);
+    drop(store.create(&manifests[1], &serving).unwrap());
+    assert!(store.find(manifests[0].digest()).unwrap().is_some());
+    drop(store.create(&manifests[2], &serving).unwrap());
+    assert!(store.find(manifests[1].digest()).unwrap().is_none(), "it gave way");
+    let large = Manifest::of("m", "large", &vec![1; 2_000], 64);
+    assert!(matches!(store.create(&large, &serving), Err(StoreError::Full { .. })));
+}
+
+#[test]
+fn manifest_of_another_version_is_refused() {
+    let manifest = Manifest::of("m", "v1", &weights(1), 64);
+    let json = serde_json::to_vec(&manifest).unwrap();
+    assert!(Manifest::parse(&json, manifest.digest()).is_ok());
+    assert!(Manifest::parse(&json, VersionDigest::of(b"other")).is_err());
+}
+
+fn holders(count: usize, centres: usize) -> Vec<Holder> {
+    (0..count)
+        .map(|at| Holder {
+            name: BackendName::new(&format!("runner-{at}")).expect("valid"),
+            data_centre: DataCentre::new(&format!("dc-{}", at % centres)).expect("valid"),
+            address: ([127, 0, 0, 1], 1).into(),
+        })
+        .collect()
+}
+
+#[test]
+fn each_chunk_crosses_the_origin_and_each_data_centre_once() {
+    let holders = holders(48, 3);
+    let centre: BTreeMap<_, _> =
+        holders.iter().map(|holder| (holder.name.clone(), holder.data_centre.clone())).collect();
+    let mut uploads: BTreeMap<BackendName, usize> = BTreeMap::new();
+    for number in 0..400_u32 {
+        let chunk = VersionDigest::of(&number.to_le_bytes());
+        let (mut origin, mut crossing) = (0, 0);
+        for holder in &holders {
+            match &parents(chunk, &holder.name, &holders)[0] {
+                Parent::Origin => origin += 1,
+                Parent::Agent(name, _) => {
+                    *uploads.entry(name.clone()).or_default() += 1;
+                    crossing += usize::from(centre[name] != holder.data_centre);
+                }
+            }
+        }
+        assert_eq!(
+            (origin, crossing),
+            (1, 2),
+            "one copy from the origin, one to each other centre"
+        );
+    }
+    // Nobody uploads much more than it downloads, 400 chunks.
+    let most = uploads.values().max().copied().unwrap_or(0);
+    assert!(most < 520, "the busiest uploads {most} chunks for 400 downloaded");
+}
+
+proptest! {
+    #[test]
+    fn every_way_ends_at_the_origin_without_a_circle(count in 1_usize..40, centres in 1_usize..4, number: u32) {
+        let holders = holders(count, centres);
+        let chunk = VersionDigest::of(&number.to_le_bytes());
+        for holder in &holders {
+            let mut at = holder.name.clone();
+            let mut steps = 0;
+            while let Parent::Agent(name, _) = parents(chunk, &at, &holders)[0].clone() {
+                prop_assert_ne!(&name, &at);
+                at = name;
+                steps += 1;
+                prop_assert!(steps <= 8);
+            }
+            let sources = parents(chunk, &holder.name, &holders);
+            prop_assert_eq!(sources.last(), Some(&Parent::Origin));
+        }
+    }
+
+    #[test]
+    fn arbitrary_manifests_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Manifest::parse(&bytes, VersionDigest::of(b""));
+    }
+}
