--- a/crates/egret_settings/src/document.rs
+++ b/crates/egret_settings/src/document.rs
@@ -72,14 +72,14 @@
 }
 
 fn decoding_error(name: &str, text: &str, error: &serde_saphyr::Error) -> DocumentError {
-    let message = first_line(&error.without_snippet().to_string());
+    let error = error.without_snippet();
     let span = match error.location() {
         Some(place) => line_span(text, place.line(), place.column()),
         None => (0, 0).into(),
     };
     DocumentError {
-        help: decoding_help(&message),
-        message: format!("{name}: {message}"),
+        help: decoding_help(error),
+        message: format!("{name}: {}", first_line(&error.to_string())),
         source_code: NamedSource::new(name, text.to_owned()),
         span,
     }
@@ -89,31 +89,45 @@
     text.lines().next().unwrap_or_default().to_owned()
 }
 
-fn decoding_help(message: &str) -> String {
-    if message.contains("unknown field") {
-        return unknown_key_help(message);
-    }
-    if let Some(key) = quoted(message).first().filter(|_| message.contains("missing field")) {
-        return format!("add `{key}:` with a value; the file in settings/ shows one");
+fn decoding_help(error: &serde_saphyr::Error) -> String {
+    use serde_saphyr::Error;
+    match error {
+        Error::SerdeUnknownField { field, expected, .. } => nearest_help(field, expected),
+        Error::SerdeUnknownVariant { variant, expected, .. } => nearest_help(variant, expected),
+        Error::SerdeMissingField { field, .. } => {
+            format!("add `{field}:` with a value; the examples in settings/ show one")
+        }
+        Error::InvalidScalar { ty, .. } => scalar_help(ty).to_owned(),
+        other if other.to_string().contains("socket address") => {
+            "write an IP address and a port, such as 127.0.0.1:7001".to_owned()
+        }
+        _ => "correct the value at the marked place; the examples in settings/ show its form"
+            .to_owned(),
     }
-    "correct the value at the marked place; the file in settings/ shows its form".to_owned()
 }
 
-fn unknown_key_help(message: &str) -> String {
-    let words = quoted(message);
-    let Some((unknown, known)) = words.split_first() else {
-        return "remove the key".to_owned();
-    };
-    let nearest =
-        known.iter().max_by(|a, b| strsim::jaro(unknown, a).total_cmp(&strsim::jaro(unknown, b)));
-    match nearest {
-        Some(key) => format!("did you mean `{key}`? otherwise remove `{unknown}`"),
-        None => format!("remove `{unknown}`"),
+fn scalar_help(kind: &str) -> &'static str {
+    match kind {
+        "u8" => "write a whole number from 0 to 255",
+        "u32" => "write a whole number from 0 to 4294967295",
+        "u64" => "write a whole number, 0 or more",
+        "bool" => "write true or false",
+        _ => "correct the value at the marked place; the examples in settings/ show its form",
     }
 }
 
-fn quoted(message: &str) -> Vec<&str> {
-    message.split('`').skip(1).step_by(2).collect()
+fn nearest_help(unknown: &str, known: &[&str]) -> String {
+    /// Likeness, of one, from which a known word may have been meant.
+    const LIKENESS_MIN: f64 = 0.7;
+    let nearest = known
+        .iter()
+        .map(|word| (strsim::jaro(unknown, word), word))
+        .filter(|(likeness, _)| *likeness >= LIKENESS_MIN)
+        .max_by(|(a, _), (b, _)| a.total_cmp(b));
+    match nearest {
+        Some((_, word)) => format!("did you mean `{word}`? otherwise remove `{unknown}`"),
+        None => format!("remove `{unknown}`, or use one of: {}", known.join(", ")),
+    }
 }
 
 fn line_span(text: &str, line: u64, column: u64) -> SourceSpan {
--- a/crates/egretctl/src/failure.rs
+++ b/crates/egretctl/src/failure.rs
@@ -31,7 +31,7 @@
 }
 
 impl Failure {
-    pub(crate) fn usage(error: impl Diagnostic) -> Self {
+    pub(crate) fn usage(error: &impl Diagnostic) -> Self {
         let help = error.help().map(|help| help.to_string()).unwrap_or_default();
         Self::Usage { message: error.to_string(), remedy: help }
     }
