Prove the control state under failure with real processes

Forwarders delay and cut links between instances, operators race and resend, holders note what they believe; the checks are those of a register with compare-and-set, operation ids and in-force times.

--- a/crates/egret_agent/src/engine.rs
+++ b/crates/egret_agent/src/engine.rs
@@ -56,7 +56,7 @@
 
 impl Engine {
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { address, client: HttpClient::pooled() }
+        Self { address, client: HttpClient::pooled(None) }
     }
 
     /// Orders the engine to load weights.
--- a/crates/egret_agent/src/fetch.rs
+++ b/crates/egret_agent/src/fetch.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeSet,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
@@ -96,6 +96,8 @@
 #[derive(Debug)]
 pub(crate) struct Fetcher {
     own: BackendName,
+    /// The address of this instance from which it connects.
+    from: IpAddr,
     view: SharedView,
     links: Rc<Links>,
     client: HttpClient,
@@ -108,12 +110,13 @@
 }
 
 impl Fetcher {
-    pub(crate) fn new(own: BackendName, view: SharedView, links: Rc<Links>) -> Self {
+    pub(crate) fn new(own: BackendName, from: IpAddr, view: SharedView, links: Rc<Links>) -> Self {
         Self {
             own,
+            from,
             view,
             links,
-            client: HttpClient::pooled(),
+            client: HttpClient::pooled(Some(from)),
             origin_requests: Semaphore::new(ORIGIN_REQUESTS),
             connections: RefCell::default(),
             tag: RefCell::default(),
@@ -229,7 +232,7 @@
         if let Some(known) = known.filter(|known| !known.is_closed()) {
             return Ok(known);
         }
-        let opened = Connection::open(address).await.map_err(|_| FetchError::Peer)?;
+        let opened = Connection::open(self.from, address).await.map_err(|_| FetchError::Peer)?;
         let opened = Rc::new(opened);
         self.connections.borrow_mut().insert(address, opened.clone());
         Ok(opened)
--- a/crates/egret_agent/src/program.rs
+++ b/crates/egret_agent/src/program.rs
@@ -118,8 +118,8 @@
     Ok(Holder::Backend {
         name: BackendName::new(&settings.name)?,
         data_centre: DataCentre::new(&settings.data_centre)?,
-        address: settings.listen,
-        peer_address: settings.peer_listen,
+        address: settings.address(),
+        peer_address: settings.peer_address(),
         role,
         limit: settings.backend.limit,
     })
@@ -129,9 +129,10 @@
 async fn start_control(settings: &AgentSettings, name: BackendName, holder: Holder) -> Started {
     let (sender, started) = oneshot::channel();
     let addresses = settings.control.clone();
+    let own = settings.listen.ip();
     let limit = settings.backend.limit;
     spawn_local_thread("control", move || async move {
-        let client = Rc::new(ControlClient::new(addresses));
+        let client = Rc::new(ControlClient::new(own, addresses));
         let (control, queue) = ControlHandle::new();
         tokio::task::spawn_local(queue.serve(client.clone()));
         let session = Session::new(client, holder);
@@ -156,6 +157,7 @@
     let revision = started.revision.clone();
     let backend = settings.backend.clone();
     let links = settings.links.clone();
+    let own = settings.peer_listen.ip();
     let peers = peers.into_std().expect("the listener belongs to this runtime");
     spawn_local_thread("weights", move || async move {
         let download = links.as_ref().and_then(|links| links.download_bytes);
@@ -166,7 +168,7 @@
         let client: peer::Client = capnp_rpc::new_client(server);
         let peers = TcpListener::from_std(peers).expect("the listener is non-blocking");
         tokio::task::spawn_local(listen(peers, client.client));
-        let fetcher = Fetcher::new(shared.name.clone(), shared.view.clone(), links);
+        let fetcher = Fetcher::new(shared.name.clone(), own, shared.view.clone(), links);
         let engine = Engine::new(backend.address);
         let former_lease = (!backend.fencing).then_some(FORMER_LEASE);
         let rollout = Rollout { shared, control, engine, fetcher, holdings, store, former_lease };
--- a/crates/egret_agent/src/traffic.rs
+++ b/crates/egret_agent/src/traffic.rs
@@ -47,7 +47,7 @@
 
 impl Traffic {
     pub(crate) fn new(shared: Arc<Shared>, backend: SocketAddr, model: bool) -> Self {
-        let (pooled, fresh) = (HttpClient::pooled(), HttpClient::fresh());
+        let (pooled, fresh) = (HttpClient::pooled(None), HttpClient::fresh(None));
         Self { shared, backend, model, pooled, fresh }
     }
 
--- /dev/null
+++ b/crates/egret_bench/examples/control_faults.rs
@@ -0,0 +1,30 @@
+//! Plays one run of operators and holders under faults, and prints what it saw.
+//!
+//! `cargo run -p egret_bench --example control_faults -- SEED`
+
+use egret_bench::{
+    control::{Guards, Options, run},
+    network::Delays,
+};
+
+#[tokio::main]
+async fn main() -> Result<(), String> {
+    let seed = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(1);
+    let options = Options {
+        seed,
+        controls: 5,
+        entries: 3,
+        agents: 5,
+        operators: 3,
+        faults: 2,
+        delays: Delays::KUMAMOTO,
+        guards: Guards::default(),
+    };
+    let found = run(options).await?;
+    println!("leased={:.3} faults={:?}", found.leased, found.faults);
+    for amendment in &found.history.amendments {
+        println!("{amendment:?}");
+    }
+    println!("violations={:?}", found.history.violations());
+    Ok(())
+}
--- a/crates/egret_bench/src/caller.rs
+++ b/crates/egret_bench/src/caller.rs
@@ -96,7 +96,7 @@
     #[must_use]
     pub fn new(organisation: &str, known: Vec<SocketAddr>, start: Instant) -> Self {
         Self {
-            client: HttpClient::pooled(),
+            client: HttpClient::pooled(None),
             organisation: organisation.to_owned(),
             known,
             kept: Vec::new(),
--- /dev/null
+++ b/crates/egret_bench/src/control.rs
@@ -0,0 +1,462 @@
+//! The control state under failure.
+//!
+//! Real `egret-control` processes behind links that can be cut, operators that
+//! race, and holders with sessions, all of whose words go into a history.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use egret_record::{
+    BackendName, BackendRole, DataCentre, EntryName, MemberId, OperationId, RecordName, Revision,
+    parse_record,
+};
+use egret_rpc::{
+    Command, ControlClient, Holder, Operation, Query, Reply, Request, Session, StatusReply,
+};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use rustix::process::Signal;
+use tokio::{
+    task::{JoinHandle, LocalSet, spawn_local},
+    time::{Instant, sleep},
+};
+
+use crate::{
+    deployment::{Deployment, Place, Plan},
+    history::{Amendment, Belief, History, InForce, Outcome, Read},
+    network::Delays,
+};
+
+/// The data centres.
+const DATA_CENTRES: [&str; 3] = ["kumamoto", "fukuoka", "kagoshima"];
+/// Records that operators race for.
+const RECORDS: u32 = 3;
+/// Longest time for one word of the control state while there may be faults.
+const WORD_LIMIT: Duration = Duration::from_secs(20);
+/// Longest time until the cluster answers.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Time between two looks at what holders believe.
+const BELIEF_PERIOD: Duration = Duration::from_millis(10);
+
+/// Which guards of operators and checks are off, to show that the checks see it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Guards {
+    /// Amendments expect no revision.
+    pub blind_writes: bool,
+    /// Resends carry new operation ids.
+    pub new_ids: bool,
+    /// Accepted is taken for in force.
+    pub hasty: bool,
+}
+
+/// How a run is made.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Control instances.
+    pub controls: usize,
+    /// Entries, as sessions of this process.
+    pub entries: usize,
+    /// Agents, as sessions of this process.
+    pub agents: usize,
+    /// Operators that race.
+    pub operators: usize,
+    /// Faults, one after the other.
+    pub faults: usize,
+    /// Delays of the links.
+    pub delays: Delays,
+    /// Which guards are off.
+    pub guards: Guards,
+}
+
+/// What a run found.
+#[derive(Debug, Clone, Default)]
+pub struct Findings {
+    /// Everything that was seen.
+    pub history: History,
+    /// Longest time from an amendment until it was in force, for those sent
+    /// while nothing was cut or frozen.
+    pub in_force_max: Duration,
+    /// The faults, in order.
+    pub faults: Vec<String>,
+    /// Share of the time, of one, in which holders had a lease.
+    pub leased: f64,
+}
+
+/// What the tasks of a run share.
+struct Run {
+    start: Instant,
+    options: Options,
+    addresses: Vec<SocketAddr>,
+    history: RefCell<History>,
+    in_force_max: Cell<Duration>,
+    /// Whether all links and processes are well.
+    calm: Cell<bool>,
+    stop: Cell<bool>,
+    /// Looks at holders, with or without a lease, once each had had one.
+    looks: Cell<u64>,
+}
+
+impl Run {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn client(&self) -> ControlClient {
+        ControlClient::new([127, 0, 0, 1].into(), self.addresses.clone())
+    }
+}
+
+/// Starts control instances only, spread over the data centres.
+///
+/// # Errors
+///
+/// Returns what went wrong.
+pub fn start(controls: usize, delays: Delays, settings: &str) -> Result<Deployment, String> {
+    let controls = (0..controls)
+        .map(|at| Place::new(format!("control-{at}"), DATA_CENTRES[at % DATA_CENTRES.len()]));
+    let plan = Plan {
+        controls: controls.collect(),
+        control_settings: settings.to_owned(),
+        delays,
+        ..Plan::default()
+    };
+    Deployment::start(&plan).map_err(|error| error.to_string())
+}
+
+/// Runs operators and holders under faults.
+///
+/// # Errors
+///
+/// Returns what kept the run from being made.
+pub async fn run(options: Options) -> Result<Findings, String> {
+    LocalSet::new().run_until(run_local(options)).await
+}
+
+async fn run_local(options: Options) -> Result<Findings, String> {
+    let mut deployment = start(options.controls, options.delays, "snapshot_entries: 200\n")?;
+    let run = Rc::new(Run {
+        start: Instant::now(),
+        options,
+        addresses: deployment.controls.values().copied().collect(),
+        history: RefCell::default(),
+        in_force_max: Cell::default(),
+        calm: Cell::new(true),
+        stop: Cell::new(false),
+        looks: Cell::new(0),
+    });
+    status(&run.client()).await?;
+    let holders = start_holders(&run, &deployment);
+    let operators: Vec<JoinHandle<()>> =
+        (0..options.operators).map(|number| spawn_local(operate(run.clone(), number))).collect();
+    sleep(Duration::from_secs(1)).await;
+    let faults = bring_about(&run, &mut deployment).await?;
+    sleep(Duration::from_millis(500)).await;
+    run.stop.set(true);
+    for operator in operators {
+        let _ = operator.await;
+    }
+    read_all(&run, &run.client()).await;
+    holders.iter().for_each(JoinHandle::abort);
+    let history = run.history.borrow().clone();
+    let leased = history.beliefs.len() as f64 / run.looks.get().max(1) as f64;
+    Ok(Findings { leased, history, in_force_max: run.in_force_max.get(), faults })
+}
+
+/// Asks for the state of the control instances until one leads.
+///
+/// # Errors
+///
+/// Returns the client's word when none does in time.
+pub async fn status(client: &ControlClient) -> Result<StatusReply, String> {
+    let deadline = Instant::now() + READY_LIMIT;
+    match client.call(&Request::Query(Query::Status), deadline).await {
+        Ok(Reply::Status(status)) => Ok(status),
+        Ok(other) => Err(format!("odd reply {other:?}")),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+/// Opens sessions, and notes what their holders believe.
+fn start_holders(run: &Rc<Run>, deployment: &Deployment) -> Vec<JoinHandle<()>> {
+    let mut tasks = Vec::new();
+    let total = run.options.entries + run.options.agents;
+    for number in 0..total {
+        let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
+        let (own, _) = deployment.network.add(&format!("holder-{number}"), data_centre);
+        let holder = holder(number, number < run.options.entries, data_centre);
+        let client = Rc::new(ControlClient::new(own, run.addresses.clone()));
+        let session = Rc::new(Session::new(client, holder));
+        let running = session.clone();
+        tasks.push(spawn_local(async move { running.run().await }));
+        let run = run.clone();
+        tasks.push(spawn_local(async move {
+            let mut opened = session.id();
+            let _ = opened.wait_for(Option::is_some).await;
+            loop {
+                sleep(BELIEF_PERIOD).await;
+                run.looks.set(run.looks.get() + 1);
+                // The view is read first: a lease that ends in between is no fault.
+                let revision = session.view.get().revision.0;
+                let at = run.now();
+                if session.lease.is_held() {
+                    run.history.borrow_mut().beliefs.push(Belief { at, holder: number, revision });
+                }
+            }
+        }));
+    }
+    tasks
+}
+
+fn holder(number: usize, entry: bool, data_centre: &str) -> Holder {
+    let data_centre = DataCentre::new(data_centre).expect("the constants are names");
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    if entry {
+        let name = EntryName::new(&format!("entry-{number}")).expect("numbers make names");
+        return Holder::Entry { name, data_centre, address };
+    }
+    Holder::Backend {
+        name: BackendName::new(&format!("runner-{number}")).expect("numbers make names"),
+        data_centre,
+        address,
+        peer_address: address,
+        role: BackendRole::Model,
+        limit: 8,
+    }
+}
+
+/// Reads, amends and resends until the run stops; ends with no open question.
+async fn operate(run: Rc<Run>, number: usize) {
+    let mut random = SmallRng::seed_from_u64(run.options.seed << 8 | number as u64);
+    let client = run.client();
+    let mut count = 0_u32;
+    while !run.stop.get() {
+        let record = format!("record-{}", random.random_range(0..RECORDS));
+        let Some(expected) = read(&run, &client, &record).await else { continue };
+        count += 1;
+        let id = format!("operator-{number}-{count}");
+        amend(&run, &client, &record, expected, &id, &mut random).await;
+        sleep(Duration::from_millis(random.random_range(0..30))).await;
+    }
+}
+
+async fn read(run: &Run, client: &ControlClient, record: &str) -> Option<u64> {
+    let sent = run.now();
+    let request = Request::Query(Query::View);
+    let reply = client.call(&request, Instant::now() + WORD_LIMIT).await;
+    let Ok(Reply::View(view)) = reply else { return None };
+    let name = RecordName::new(record).ok()?;
+    let found = view.records.get(&name).map_or((0, String::new()), |stored| {
+        let version = stored.record.model().map(|model| model.version.clone());
+        (stored.revision.0, version.unwrap_or_default())
+    });
+    let replied = run.now();
+    let revision = found.0;
+    run.history.borrow_mut().reads.push(Read { record: record.to_owned(), sent, replied, found });
+    Some(revision)
+}
+
+async fn read_all(run: &Run, client: &ControlClient) {
+    for number in 0..RECORDS {
+        read(run, client, &format!("record-{number}")).await;
+    }
+}
+
+/// Sends an amendment until its outcome is known, and sometimes once more.
+async fn amend(
+    run: &Rc<Run>,
+    client: &ControlClient,
+    record: &str,
+    expected: u64,
+    id: &str,
+    random: &mut SmallRng,
+) {
+    let sent = run.now();
+    let calm = run.calm.get();
+    let blind = run.options.guards.blind_writes;
+    let content = id.to_owned();
+    let mut tries = 0;
+    let again = random.random_range(0..4) == 0;
+    loop {
+        tries += 1;
+        let id = if run.options.guards.new_ids { format!("{id}-{tries}") } else { id.to_owned() };
+        let command = Command::Amend {
+            id: OperationId::new(&id).expect("ids are visible ASCII"),
+            expected: (!blind).then_some(Revision(expected)),
+            operation: Operation::Put(record_of(record, &content)),
+        };
+        // A short patience makes many resends of what was accepted already.
+        let patience = Duration::from_millis(if again && tries == 1 { 15 } else { 3_000 });
+        let reply = client.call(&command.into(), Instant::now() + patience).await;
+        let outcome = match reply {
+            Ok(Reply::Accepted { revision }) => Outcome::Accepted(revision.0),
+            Ok(Reply::Conflict { .. }) => Outcome::Conflict,
+            _ => continue,
+        };
+        let replied = run.now();
+        run.history.borrow_mut().amendments.push(Amendment {
+            id,
+            record: record.to_owned(),
+            expected,
+            content: content.clone(),
+            sent,
+            replied,
+            outcome,
+        });
+        if let Outcome::Accepted(revision) = outcome
+            && tries == 1
+        {
+            // Operators go on meanwhile, so that there is always something to go wrong.
+            let run = run.clone();
+            spawn_local(async move { wait_in_force(&run, revision, sent, calm).await });
+        }
+        if !again || tries > 1 {
+            return;
+        }
+    }
+}
+
+async fn wait_in_force(run: &Rc<Run>, revision: u64, sent: Duration, calm: bool) {
+    if run.options.guards.hasty {
+        run.history.borrow_mut().in_force.push(InForce { at: run.now(), revision });
+        return;
+    }
+    let deadline = Instant::now() + WORD_LIMIT;
+    if let Ok(true) = run.client().in_force(Revision(revision), deadline).await {
+        let at = run.now();
+        run.history.borrow_mut().in_force.push(InForce { at, revision });
+        if calm && run.calm.get() {
+            run.in_force_max.set(run.in_force_max.get().max(at - sent));
+        }
+    }
+}
+
+fn record_of(name: &str, version: &str) -> egret_record::Record {
+    let digest = egret_record::VersionDigest::of(version.as_bytes());
+    let text = format!(
+        "schema: 1\nname: {name}\nmodel: {name}\nversion: {version}\ndigest: {digest}\n\
+         origin: http://127.0.0.1:1/{name}\nreplicas: 1\n"
+    );
+    parse_record("record", &text).expect("the text is a record")
+}
+
+/// Brings about faults, and mends each before the next.
+async fn bring_about(run: &Rc<Run>, deployment: &mut Deployment) -> Result<Vec<String>, String> {
+    let mut random = SmallRng::seed_from_u64(run.options.seed);
+    let mut done = Vec::new();
+    for _ in 0..run.options.faults {
+        let leader = leader(&run.client()).await?;
+        let any = format!("control-{}", random.random_range(0..run.options.controls));
+        let victim = if random.random() { leader.clone() } else { any };
+        let length = Duration::from_millis(random.random_range(200..2_500));
+        run.calm.set(false);
+        let fault = random.random_range(0..6);
+        let name = match fault {
+            0 => {
+                deployment.kill(&victim);
+                sleep(length / 2).await;
+                deployment.restart(&victim).map_err(|error| error.to_string())?;
+                format!("kill {victim}")
+            }
+            1 => {
+                deployment.signal(&victim, Signal::STOP);
+                sleep(length).await;
+                deployment.signal(&victim, Signal::CONT);
+                format!("freeze {victim} {length:?}")
+            }
+            2 => {
+                let centre = DATA_CENTRES[random.random_range(0..DATA_CENTRES.len())];
+                for other in DATA_CENTRES.iter().filter(|other| **other != centre) {
+                    deployment.network.cut(centre, other);
+                }
+                sleep(length).await;
+                deployment.network.heal();
+                format!("cut {centre} {length:?}")
+            }
+            3 => {
+                for other in deployment.controls.keys().filter(|other| **other != victim) {
+                    deployment.network.cut_one_way(&victim, other);
+                }
+                sleep(length).await;
+                deployment.network.heal();
+                format!("cut one way {victim} {length:?}")
+            }
+            4 => {
+                repair_lost(deployment, &run.client(), &victim).await?;
+                format!("lose data of {victim}")
+            }
+            _ => {
+                let second = deployment.controls.keys().find(|name| **name != victim).cloned();
+                let second = second.unwrap_or_default();
+                repair_lost(deployment, &run.client(), &victim).await?;
+                repair_lost(deployment, &run.client(), &second).await?;
+                format!("lose data of {victim}, then of {second}")
+            }
+        };
+        done.push(name);
+        status(&run.client()).await?;
+        run.calm.set(true);
+        sleep(Duration::from_millis(300)).await;
+    }
+    Ok(done)
+}
+
+/// Loses the data folder of an instance, then repairs as the operators' page says.
+///
+/// # Errors
+///
+/// Returns which step did not succeed.
+pub async fn repair_lost(
+    deployment: &mut Deployment,
+    client: &ControlClient,
+    name: &str,
+) -> Result<(), String> {
+    let before = status(client).await?;
+    let old = before.members.iter().find(|member| member.name == name).map(|m| m.identity);
+    let old = old.ok_or_else(|| format!("{name} is no member"))?;
+    deployment.kill(name);
+    deployment.lose_data(name).map_err(|error| error.to_string())?;
+    deployment.restart(name).map_err(|error| error.to_string())?;
+    change_until(client, &Request::RemoveMember(old), |status| !is_member(status, old)).await?;
+    let add = Request::AddMember(name.to_owned());
+    change_until(client, &add, |status| {
+        status.members.iter().any(|member| member.name == name && member.voter)
+    })
+    .await
+}
+
+fn is_member(status: &StatusReply, id: MemberId) -> bool {
+    status.members.iter().any(|member| member.identity == id)
+}
+
+/// Asks for a change of membership until it shows.
+async fn change_until(
+    client: &ControlClient,
+    request: &Request,
+    done: impl Fn(&StatusReply) -> bool,
+) -> Result<(), String> {
+    let deadline = Instant::now() + READY_LIMIT;
+    while Instant::now() < deadline {
+        if done(&status(client).await?) {
+            return Ok(());
+        }
+        let _ = client.call(request, Instant::now() + Duration::from_secs(2)).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    Err(format!("{request:?} did not show in time"))
+}
+
+/// Returns the name of the instance that leads.
+///
+/// # Errors
+///
+/// Returns the client's word when none does in time.
+pub async fn leader(client: &ControlClient) -> Result<String, String> {
+    let status = status(client).await?;
+    let leader = status.members.into_iter().find(|member| member.leader);
+    leader.map(|member| member.name).ok_or_else(|| "nobody leads".to_owned())
+}
--- a/crates/egret_bench/src/deployment.rs
+++ b/crates/egret_bench/src/deployment.rs
@@ -7,7 +7,7 @@
     collections::BTreeMap,
     fs::{self, File},
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::Duration,
@@ -20,7 +20,10 @@
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
-use crate::http_text::ask;
+use crate::{
+    http_text::ask,
+    network::{Delays, Network},
+};
 
 /// Longest time for one administrative question.
 const ASK_TIMEOUT: Duration = Duration::from_secs(15);
@@ -59,6 +62,8 @@
     pub engine_args: Vec<String>,
     /// More lines in the settings of the control instances.
     pub control_settings: String,
+    /// Delays of the links between instances.
+    pub delays: Delays,
 }
 
 /// A process with what is needed to start it again.
@@ -84,6 +89,8 @@
     pub origin: SocketAddr,
     /// The addresses of the control instances, by name.
     pub controls: BTreeMap<String, SocketAddr>,
+    /// The links between the instances.
+    pub network: Network,
     client: HttpClient,
 }
 
@@ -111,49 +118,54 @@
         let name = format!("egretgap-{:016x}", rand::random::<u64>());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(folder.join("origin"))?;
-        let count = plan.controls.len()
-            + plan.entries.len()
-            + 3 * plan.engines.len()
-            + 3 * plan.services.len()
-            + 1;
-        let mut ports = free_addresses(count)?.into_iter();
-        let mut next = || ports.next().expect("enough addresses were taken");
+        let network = Network::new(plan.delays);
         let mut deployment = Self {
             folder,
             binaries: binaries()?,
             processes: BTreeMap::new(),
             entries: BTreeMap::new(),
             backends: BTreeMap::new(),
-            origin: next(),
+            origin: free_address(Ipv4Addr::LOCALHOST.into())?,
             controls: BTreeMap::new(),
-            client: HttpClient::fresh(),
+            network,
+            client: HttpClient::fresh(None),
         };
         deployment.start_origin()?;
+        let mut listens = BTreeMap::new();
         for place in &plan.controls {
-            deployment.controls.insert(place.name.clone(), next());
+            let (listen, announced) = deployment.address_pair(place)?;
+            listens.insert(place.name.clone(), listen);
+            deployment.controls.insert(place.name.clone(), announced);
         }
         for place in &plan.controls {
-            deployment.start_control(place, &plan.control_settings)?;
+            deployment.start_control(place, listens[&place.name], &plan.control_settings)?;
         }
         for place in &plan.entries {
-            deployment.start_entry(place, next())?;
+            deployment.start_entry(place)?;
         }
         for place in &plan.engines {
-            let engine = next();
+            let engine = free_address(Ipv4Addr::LOCALHOST.into())?;
             let mut args = vec!["engine".to_owned(), "--listen".to_owned(), engine.to_string()];
             args.extend(plan.engine_args.iter().cloned());
             deployment.spawn(&format!("engine-{}", place.name), "egret-standin", args)?;
-            deployment.start_agent(place, next(), next(), engine, None)?;
+            deployment.start_agent(place, engine, None)?;
         }
         for (place, service) in &plan.services {
-            let address = next();
+            let address = free_address(Ipv4Addr::LOCALHOST.into())?;
             let args = ["service", "--listen", &address.to_string()].map(str::to_owned);
             deployment.spawn(&format!("service-{}", place.name), "egret-standin", args.to_vec())?;
-            deployment.start_agent(place, next(), next(), address, Some(service))?;
+            deployment.start_agent(place, address, Some(service))?;
         }
         Ok(deployment)
     }
 
+    /// Takes an address to listen on and one to announce, with a forwarder between.
+    fn address_pair(&self, place: &Place) -> io::Result<(SocketAddr, SocketAddr)> {
+        let (own, announced) = self.network.add(&place.name, &place.data_centre);
+        let listen = free_address(own)?;
+        Ok((listen, self.network.forward(announced, listen)?))
+    }
+
     /// Publishes weights at the origin, and returns their digest and address.
     ///
     /// # Errors
@@ -291,6 +303,13 @@
         fs::create_dir_all(&data)
     }
 
+    /// Returns the size of a file in the data folder of a process, in bytes.
+    #[must_use]
+    pub fn file_bytes(&self, name: &str, file: &str) -> u64 {
+        let path = self.folder.join(name).join("data").join(file);
+        fs::metadata(path).map_or(0, |metadata| metadata.len())
+    }
+
     /// Asks a process to stop gracefully, and returns its exit code.
     pub async fn terminate(&mut self, name: &str, limit: Duration) -> Option<i32> {
         self.signal(name, Signal::TERM);
@@ -333,7 +352,7 @@
         self.spawn("origin", "egret-standin", args.to_vec())
     }
 
-    fn start_control(&mut self, place: &Place, more: &str) -> io::Result<()> {
+    fn start_control(&mut self, place: &Place, listen: SocketAddr, more: &str) -> io::Result<()> {
         let data = self.data_folder(&place.name)?;
         let peers: String = self
             .controls
@@ -341,7 +360,8 @@
             .map(|(name, address)| format!("  - {{ name: {name}, address: \"{address}\" }}\n"))
             .collect();
         let settings = format!(
-            "name: {}\ndata_centre: {}\nlisten: {}\ndata_folder: {}\npeers:\n{peers}{more}",
+            "name: {}\ndata_centre: {}\nlisten: {listen}\nadvertise: {}\ndata_folder: {}\n\
+             peers:\n{peers}{more}",
             place.name,
             place.data_centre,
             self.controls[&place.name],
@@ -350,7 +370,9 @@
         self.spawn_with(&place.name, "egret-control", &settings)
     }
 
-    fn start_entry(&mut self, place: &Place, address: SocketAddr) -> io::Result<()> {
+    fn start_entry(&mut self, place: &Place) -> io::Result<()> {
+        let (own, _) = self.network.add(&place.name, &place.data_centre);
+        let address = free_address(own)?;
         self.entries.insert(place.name.clone(), address);
         let settings = format!(
             "name: {}\ndata_centre: {}\nlisten: {address}\ncontrol: {}\n",
@@ -364,8 +386,6 @@
     fn start_agent(
         &mut self,
         place: &Place,
-        listen: SocketAddr,
-        peer: SocketAddr,
         backend: SocketAddr,
         service: Option<&String>,
     ) -> io::Result<()> {
@@ -375,8 +395,13 @@
             Some(service) => format!("kind: service, service: {service}"),
             None => "kind: model, fencing: true".to_owned(),
         };
+        let (own, announced) = self.network.add(&place.name, &place.data_centre);
+        let (listen, peer_listen) = (free_address(own)?, free_address(own)?);
+        let advertise = self.network.forward(announced, listen)?;
+        let peer_advertise = self.network.forward(announced, peer_listen)?;
         let settings = format!(
-            "name: {}\ndata_centre: {}\nlisten: {listen}\npeer_listen: {peer}\ncontrol: {}\n\
+            "name: {}\ndata_centre: {}\nlisten: {listen}\nadvertise: {advertise}\n\
+             peer_listen: {peer_listen}\npeer_advertise: {peer_advertise}\ncontrol: {}\n\
              data_folder: {}\nbackend: {{ {kind}, address: \"{backend}\", limit: 8 }}\n",
             place.name,
             place.data_centre,
@@ -435,17 +460,13 @@
     }
 }
 
-/// Takes free addresses from the kernel.
+/// Takes a free port of an address from the kernel.
 ///
 /// # Errors
 ///
 /// Returns the system's error when it has none.
-pub fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    // All are held until all are known, so that none is given twice.
-    let listeners: Vec<_> = (0..count)
-        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
-        .collect::<io::Result<_>>()?;
-    listeners.iter().map(TcpListener::local_addr).collect()
+pub fn free_address(address: IpAddr) -> io::Result<SocketAddr> {
+    TcpListener::bind((address, 0))?.local_addr()
 }
 
 /// Returns the folder with the programs, that of this one or its parent.
--- a/crates/egret_bench/src/lib.rs
+++ b/crates/egret_bench/src/lib.rs
@@ -2,11 +2,19 @@
 //!
 //! - [`deployment`]: the programs as processes of this machine.
 //! - [`caller`]: callers that check every answer.
+//! - [`network`]: links between instances that can be delayed and cut.
+//! - [`history`]: what operators and holders saw, and whether it may be.
+//! - [`control`]: the control state under failure.
+//! - [`control_bench`]: the measures of the control state.
 //! - [`demo`]: the whole path once, with a data centre out and back.
 
 pub mod caller;
+pub mod control;
+pub mod control_bench;
 pub mod demo;
 pub mod deployment;
+pub mod history;
 mod http_text;
+pub mod network;
 
 pub use http_text::{Reply, ask};
--- a/crates/egret_bench/src/main.rs
+++ b/crates/egret_bench/src/main.rs
@@ -16,6 +16,7 @@
     let result = runtime.block_on(async {
         match name {
             "demo" => egret_bench::demo::run(seed).await,
+            "control" => egret_bench::control_bench::run(seed).await,
             other => Err(format!("no experiment {other:?}")),
         }
     });
@@ -42,6 +43,9 @@
         .subcommand(
             Command::new("demo")
                 .about("Runs the whole path once, with a data centre out and back")
-                .arg(seed),
+                .arg(seed.clone()),
+        )
+        .subcommand(
+            Command::new("control").about("Measures the control state under failure").arg(seed),
         )
 }
--- /dev/null
+++ b/crates/egret_bench/src/network.rs
@@ -0,0 +1,237 @@
+//! Links between instances that can be delayed and cut.
+//!
+//! Every instance has a loopback address of its own, from which it connects,
+//! and one that it announces, behind which a forwarder stands. So a forwarder
+//! knows both ends of each connection. A cut is silent: bytes stay on the way
+//! until it is healed, and nobody is told.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{Notify, mpsc},
+    time::{Instant, sleep_until},
+};
+
+/// Pieces that may be on their way in one direction of a connection.
+const PIECES: usize = 64;
+/// Largest piece, in bytes.
+const PIECE_BYTES: usize = 64 * 1024;
+
+/// One-way delays, as the users' deployments have them.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Delays {
+    /// Inside a data centre.
+    pub inside: Duration,
+    /// Between data centres, each of which is a region of its own.
+    pub between: Duration,
+}
+
+impl Delays {
+    /// The delays of Kumamoto.
+    pub const KUMAMOTO: Self = Self { inside: Duration::ZERO, between: Duration::from_millis(3) };
+}
+
+#[derive(Debug, Default)]
+struct Links {
+    /// The name and data centre of the instance at an address.
+    places: BTreeMap<IpAddr, (String, String)>,
+    /// Pairs of instance names or data centres between which nothing passes, one way.
+    cuts: BTreeSet<(String, String)>,
+}
+
+/// Links between instances.
+#[derive(Debug, Clone)]
+pub struct Network {
+    /// The second byte of its addresses, so that networks side by side differ.
+    number: u8,
+    delays: Delays,
+    links: Arc<Mutex<Links>>,
+    changed: Arc<Notify>,
+    traffic: Arc<Traffic>,
+}
+
+/// What the forwarders have carried.
+#[derive(Debug, Default)]
+struct Traffic {
+    bytes: AtomicU64,
+    pieces: AtomicU64,
+}
+
+impl Network {
+    /// Makes a network without cuts.
+    #[must_use]
+    pub fn new(delays: Delays) -> Self {
+        Self {
+            number: rand::random_range(1..=254),
+            delays,
+            links: Arc::default(),
+            changed: Arc::default(),
+            traffic: Arc::default(),
+        }
+    }
+
+    /// Gives an instance its address; returns it and the one to announce.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there are more than some ten thousand instances.
+    #[must_use]
+    pub fn add(&self, name: &str, data_centre: &str) -> (IpAddr, IpAddr) {
+        let mut links = self.lock();
+        let number = links.places.len();
+        let (high, low) = (number / 250, number % 250);
+        let high = u8::try_from(high).expect("few instances");
+        let low = u8::try_from(low).expect("below 250");
+        // Odd for the instance, even for what it announces.
+        let own = Ipv4Addr::new(127, self.number, high * 2 + 1, low + 1).into();
+        links.places.insert(own, (name.to_owned(), data_centre.to_owned()));
+        (own, Ipv4Addr::new(127, self.number, high * 2 + 2, low + 1).into())
+    }
+
+    /// Passes connections to `announced` on to `target`, until the runtime ends.
+    ///
+    /// Returns the address with the port that the kernel gave.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the address cannot be used.
+    pub fn forward(&self, announced: IpAddr, target: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = std::net::TcpListener::bind((announced, 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let listener = TcpListener::from_std(listener)?;
+        let network = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, from)) = listener.accept().await {
+                let network = network.clone();
+                tokio::spawn(async move { network.connect(stream, from.ip(), target).await });
+            }
+        });
+        Ok(address)
+    }
+
+    /// Returns bytes and pieces that all forwarders have carried.
+    ///
+    /// A piece is what one read of a socket brought, mostly one message.
+    #[must_use]
+    pub fn carried(&self) -> (u64, u64) {
+        let Traffic { bytes, pieces } = &*self.traffic;
+        (bytes.load(Ordering::Relaxed), pieces.load(Ordering::Relaxed))
+    }
+
+    /// Cuts the way from one instance or data centre to another.
+    pub fn cut_one_way(&self, from: &str, to: &str) {
+        self.lock().cuts.insert((from.to_owned(), to.to_owned()));
+    }
+
+    /// Cuts both ways between two instances or data centres.
+    pub fn cut(&self, one: &str, other: &str) {
+        self.cut_one_way(one, other);
+        self.cut_one_way(other, one);
+    }
+
+    /// Heals all cuts.
+    pub fn heal(&self) {
+        self.lock().cuts.clear();
+        self.changed.notify_waiters();
+    }
+
+    async fn connect(self, stream: TcpStream, from: IpAddr, target: SocketAddr) {
+        // A connection cannot be made across a cut.
+        self.passable(from, target.ip()).await;
+        self.passable(target.ip(), from).await;
+        let Ok(other) = TcpStream::connect(target).await else { return };
+        let _ = (stream.set_nodelay(true), other.set_nodelay(true));
+        let (read, write) = stream.into_split();
+        let (other_read, other_write) = other.into_split();
+        tokio::join!(
+            self.pump(read, other_write, from, target.ip()),
+            self.pump(other_read, write, target.ip(), from),
+        );
+    }
+
+    async fn pump(
+        &self,
+        mut read: OwnedReadHalf,
+        mut write: OwnedWriteHalf,
+        from: IpAddr,
+        to: IpAddr,
+    ) {
+        let delay = self.delay(from, to);
+        let (sender, mut pieces) = mpsc::channel::<(Instant, Bytes)>(PIECES);
+        let reading = async move {
+            let mut piece = vec![0; PIECE_BYTES];
+            while let Ok(length) = read.read(&mut piece).await {
+                self.traffic.bytes.fetch_add(length as u64, Ordering::Relaxed);
+                self.traffic.pieces.fetch_add(1, Ordering::Relaxed);
+                let arrival = Instant::now() + delay;
+                let content = Bytes::copy_from_slice(&piece[..length]);
+                if sender.send((arrival, content)).await.is_err() || length == 0 {
+                    return;
+                }
+            }
+        };
+        let writing = async {
+            while let Some((arrival, content)) = pieces.recv().await {
+                sleep_until(arrival).await;
+                self.passable(from, to).await;
+                if content.is_empty() || write.write_all(&content).await.is_err() {
+                    break;
+                }
+            }
+            let _ = write.shutdown().await;
+        };
+        tokio::join!(reading, writing);
+    }
+
+    /// Waits until the way from one instance to another is not cut.
+    async fn passable(&self, from: IpAddr, to: IpAddr) {
+        loop {
+            let changed = self.changed.notified();
+            if !self.is_cut(from, to) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn is_cut(&self, from: IpAddr, to: IpAddr) -> bool {
+        let links = self.lock();
+        let names = |address: IpAddr| match links.places.get(&address) {
+            Some((name, data_centre)) => [name.clone(), data_centre.clone()],
+            None => [String::new(), String::new()],
+        };
+        let to = names(to);
+        names(from)
+            .iter()
+            .any(|from| to.iter().any(|to| links.cuts.contains(&(from.clone(), to.clone()))))
+    }
+
+    fn delay(&self, from: IpAddr, to: IpAddr) -> Duration {
+        let links = self.lock();
+        let centre = |address: IpAddr| links.places.get(&address).map(|(_, centre)| centre);
+        match (centre(from), centre(to)) {
+            (Some(one), Some(other)) if one != other => self.delays.between,
+            _ => self.delays.inside,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Links> {
+        self.links.lock().expect("no holder of the lock panics")
+    }
+}
--- a/crates/egret_control/src/bootstrap.rs
+++ b/crates/egret_control/src/bootstrap.rs
@@ -70,7 +70,7 @@
     own: MemberId,
     heard: BTreeMap<SocketAddr, Introduction>,
 ) -> Membership {
-    let own = (own, Member::new(&settings.name, &settings.listen.to_string()));
+    let own = (own, Member::new(&settings.name, &settings.address().to_string()));
     let others = heard.into_values().map(|other| (other.id, other.member));
     Membership::of_voters(others.chain([own]))
 }
@@ -92,9 +92,10 @@
     own: MemberId,
     address: SocketAddr,
 ) -> capnp::Result<Introduction> {
-    let connection: Connection<control::Client> = Connection::open(address).await?;
+    let connection: Connection<control::Client> =
+        Connection::open(settings.listen.ip(), address).await?;
     let mut call = connection.client().hello_request();
-    let member = Member::new(&settings.name, &settings.listen.to_string());
+    let member = Member::new(&settings.name, &settings.address().to_string());
     write_member(own, &member, call.get().init_member());
     let answer = call.send().promise.await?;
     let answer = answer.get()?;
--- a/crates/egret_control/src/peers.rs
+++ b/crates/egret_control/src/peers.rs
@@ -1,6 +1,6 @@
 //! Messages to the other control members.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::IpAddr, rc::Rc, time::Duration};
 
 use egret_consensus::Envelope;
 use egret_record::{FastMap, MemberId};
@@ -15,12 +15,18 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Senders to the other control members.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
+    /// The address of this instance from which it connects.
+    own: IpAddr,
     queues: RefCell<FastMap<(MemberId, String), mpsc::Sender<Envelope>>>,
 }
 
 impl Peers {
+    pub(crate) fn new(own: IpAddr) -> Self {
+        Self { own, queues: RefCell::default() }
+    }
+
     /// Sends messages; those to unknown or slow members are dropped.
     pub(crate) fn send(
         &self,
@@ -32,19 +38,19 @@
             let mut queues = self.queues.borrow_mut();
             let queue = queues
                 .entry((message.to, address.clone()))
-                .or_insert_with(|| start_sender(&address));
+                .or_insert_with(|| start_sender(self.own, &address));
             let _ = queue.try_send(message);
         }
     }
 }
 
-fn start_sender(address: &str) -> mpsc::Sender<Envelope> {
+fn start_sender(own: IpAddr, address: &str) -> mpsc::Sender<Envelope> {
     let (sender, queue) = mpsc::channel(QUEUE_MESSAGES);
-    tokio::task::spawn_local(send_all(address.to_owned(), queue));
+    tokio::task::spawn_local(send_all(own, address.to_owned(), queue));
     sender
 }
 
-async fn send_all(address: String, mut queue: mpsc::Receiver<Envelope>) {
+async fn send_all(own: IpAddr, address: String, mut queue: mpsc::Receiver<Envelope>) {
     let mut connection: Option<Rc<Connection<control::Client>>> = None;
     let unanswered = Rc::new(RefCell::new(0_usize));
     let broken = Rc::new(RefCell::new(false));
@@ -54,7 +60,7 @@
             unanswered.replace(0);
         }
         if connection.is_none() {
-            connection = open(&address).await;
+            connection = open(own, &address).await;
         }
         let Some(open) = &connection else {
             // What was queued meanwhile is stale; heartbeats bring newer messages.
@@ -80,9 +86,9 @@
     }
 }
 
-async fn open(address: &str) -> Option<Rc<Connection<control::Client>>> {
+async fn open(own: IpAddr, address: &str) -> Option<Rc<Connection<control::Client>>> {
     let address = address.parse().ok()?;
-    match Connection::open(address).await {
+    match Connection::open(own, address).await {
         Ok(connection) => Some(Rc::new(connection)),
         Err(error) => {
             log::debug!("event=member_unreachable address={address} error=\"{error}\"");
--- a/crates/egret_control/src/program.rs
+++ b/crates/egret_control/src/program.rs
@@ -76,7 +76,7 @@
         settings.name,
         own.0
     );
-    let server = Server::new(own, Member::new(&settings.name, &address.to_string()));
+    let server = Server::new(own, Member::new(&settings.name, &settings.address().to_string()));
     let client: control::Client = capnp_rpc::new_client(server.clone());
     tokio::task::spawn_local(listen(listener, client.client));
     tokio::select! {
@@ -109,7 +109,7 @@
         std::future::pending::<()>().await;
     };
     tokio::select! {
-        result = drive(core.clone(), inbox, Peers::default()) => Ok(result?),
+        result = drive(core.clone(), inbox, Peers::new(settings.listen.ip())) => Ok(result?),
         () = joining => unreachable!("joining stays pending"),
     }
 }
--- a/crates/egret_entry/src/dispatch.rs
+++ b/crates/egret_entry/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! From a request to its answer.
 
 use std::{
+    net::IpAddr,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -84,6 +85,8 @@
 
 /// What a dispatch is built from.
 pub(crate) struct DispatchParts {
+    /// The address of this instance from which it connects.
+    pub(crate) own: IpAddr,
     pub(crate) data_centre: DataCentre,
     pub(crate) view: SharedView,
     pub(crate) lease: Lease,
@@ -109,8 +112,8 @@
             deadline: parts.deadline,
             burn: Burn::default(),
             start: Instant::now(),
-            pooled: HttpClient::pooled(),
-            fresh: HttpClient::fresh(),
+            pooled: HttpClient::pooled(Some(parts.own)),
+            fresh: HttpClient::fresh(Some(parts.own)),
             routes: Mutex::new(routes),
             draining: AtomicBool::new(false),
             running: AtomicUsize::new(0),
--- a/crates/egret_entry/src/program.rs
+++ b/crates/egret_entry/src/program.rs
@@ -83,21 +83,23 @@
     let holder = Holder::Entry {
         name: EntryName::new(&settings.name)?,
         data_centre: data_centre.clone(),
-        address: settings.listen,
+        address: settings.address(),
     };
     let (sender, started) = oneshot::channel();
     let addresses = settings.control.clone();
+    let own = settings.listen.ip();
     let deadline = Duration::from_millis(settings.deadline_ms);
     let retry_percent = settings.retry_percent;
     let thread = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.expect("the system allows a runtime");
         LocalSet::new().block_on(&runtime, async move {
-            let client = Rc::new(ControlClient::new(addresses));
+            let client = Rc::new(ControlClient::new(own, addresses));
             let (control, queue) = ControlHandle::new();
             tokio::task::spawn_local(queue.serve(client.clone()));
             let session = Session::new(client, holder);
             let dispatch = Dispatch::new(DispatchParts {
+                own,
                 data_centre,
                 view: session.view.clone(),
                 lease: session.lease.clone(),
--- a/crates/egret_http/src/client.rs
+++ b/crates/egret_http/src/client.rs
@@ -1,6 +1,6 @@
 //! Requests to other processes, with what is known of a failure.
 
-use std::time::Duration;
+use std::{net::IpAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -40,7 +40,7 @@
     Cut,
 }
 
-/// A client for HTTP/1.1.
+/// A client for HTTP/1.1, which may connect from one address of this instance.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
@@ -49,8 +49,8 @@
 impl HttpClient {
     /// Makes a client that keeps connections for later requests.
     #[must_use]
-    pub fn pooled() -> Self {
-        Self::new(usize::MAX)
+    pub fn pooled(own: Option<IpAddr>) -> Self {
+        Self::new(own, usize::MAX)
     }
 
     /// Makes a client that opens a connection for each request.
@@ -58,14 +58,15 @@
     /// The other side may close a kept connection just when a request is sent
     /// on it, and nobody knows then whether it ran.
     #[must_use]
-    pub fn fresh() -> Self {
-        Self::new(0)
+    pub fn fresh(own: Option<IpAddr>) -> Self {
+        Self::new(own, 0)
     }
 
-    fn new(idle: usize) -> Self {
+    fn new(own: Option<IpAddr>, idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        connector.set_local_address(own);
         let client = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(idle)
             .pool_idle_timeout(IDLE_TIME)
--- a/crates/egret_rpc/src/client.rs
+++ b/crates/egret_rpc/src/client.rs
@@ -1,6 +1,11 @@
 //! Requests to whichever control instance leads.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use egret_record::{Delta, Revision, SessionId};
 use rand::RngExt as _;
@@ -49,6 +54,7 @@
 
 /// A client of the control instances that follows the leader.
 pub struct ControlClient {
+    own: IpAddr,
     addresses: Vec<SocketAddr>,
     state: RefCell<State>,
 }
@@ -67,12 +73,12 @@
 }
 
 impl ControlClient {
-    /// Makes a client of the control instances at `addresses`.
+    /// Makes a client of the control instances at `addresses`, reached from `own`.
     #[must_use]
-    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+    pub fn new(own: IpAddr, addresses: Vec<SocketAddr>) -> Self {
         // Different processes begin with different instances.
         let next = rand::rng().random_range(0..addresses.len().max(1));
-        Self { addresses, state: RefCell::new(State { next, ..State::default() }) }
+        Self { own, addresses, state: RefCell::new(State { next, ..State::default() }) }
     }
 
     /// Sends a request until it is replied to or `deadline` has passed.
@@ -191,7 +197,7 @@
                 }
             }
         };
-        let connection = Rc::new(Connection::open(address).await?);
+        let connection = Rc::new(Connection::open(self.own, address).await?);
         let client = connection.client();
         self.state.borrow_mut().connection = Some((address, connection));
         Ok(client)
--- a/crates/egret_rpc/src/connection.rs
+++ b/crates/egret_rpc/src/connection.rs
@@ -1,12 +1,16 @@
 //! Connections and listeners.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use capnp::capability::FromClientHook;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
 use futures::AsyncReadExt as _;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     task::JoinHandle,
     time::timeout,
 };
@@ -22,13 +26,17 @@
 }
 
 impl<C: FromClientHook + Clone> Connection<C> {
-    /// Connects; must be called within a `LocalSet`.
+    /// Connects from an address of this instance; must be called within a `LocalSet`.
     ///
     /// # Errors
     ///
     /// Returns the system's error when nobody listens or answers in time.
-    pub async fn open(address: SocketAddr) -> io::Result<Self> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    pub async fn open(own: IpAddr, address: SocketAddr) -> io::Result<Self> {
+        let socket = if own.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        if !own.is_unspecified() {
+            socket.bind(SocketAddr::new(own, 0))?;
+        }
+        let stream = timeout(CONNECT_TIMEOUT, socket.connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         let mut system = RpcSystem::new(network(stream, Side::Client)?, None);
--- a/crates/egret_settings/src/programs.rs
+++ b/crates/egret_settings/src/programs.rs
@@ -67,6 +67,8 @@
     pub data_centre: String,
     /// Address for the system's own protocol.
     pub listen: SocketAddr,
+    /// The address that others use, where it is not the one to listen on.
+    pub advertise: Option<SocketAddr>,
     /// Address for metrics over HTTP.
     pub metrics: Option<SocketAddr>,
     /// The folder that holds everything this instance keeps.
@@ -94,6 +96,8 @@
     pub data_centre: String,
     /// Address for callers and operators.
     pub listen: SocketAddr,
+    /// The address that callers use, where it is not the one to listen on.
+    pub advertise: Option<SocketAddr>,
     /// Address for metrics over HTTP.
     pub metrics: Option<SocketAddr>,
     /// The control instances.
@@ -161,8 +165,12 @@
     pub data_centre: String,
     /// Address for requests from entries.
     pub listen: SocketAddr,
+    /// The address that entries use, where it is not the one to listen on.
+    pub advertise: Option<SocketAddr>,
     /// Address for the system's own protocol, which serves weights to agents.
     pub peer_listen: SocketAddr,
+    /// The address that agents use, where it is not the one to listen on.
+    pub peer_advertise: Option<SocketAddr>,
     /// Address for metrics over HTTP.
     pub metrics: Option<SocketAddr>,
     /// The control instances.
@@ -213,6 +221,36 @@
     64 * 1024 * 1024 * 1024
 }
 
+impl ControlSettings {
+    /// Returns the address that others use.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+}
+
+impl EntrySettings {
+    /// Returns the address that callers use.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+}
+
+impl AgentSettings {
+    /// Returns the address that entries use.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+
+    /// Returns the address that agents use.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_advertise.unwrap_or(self.peer_listen)
+    }
+}
+
 impl Settings for ControlSettings {
     fn problems(&self) -> Vec<Problem> {
         let mut problems = name_problems(&self.name, &self.data_centre);
@@ -266,7 +304,7 @@
     fn problems(&self) -> Vec<Problem> {
         let mut problems = name_problems(&self.name, &self.data_centre);
         problems.extend(control_problem(&self.control));
-        problems.extend(advertised_problem("listen", self.listen));
+        problems.extend(advertised_problem("listen", self.address()));
         if self.deadline_ms == 0 {
             problems.push(Problem::new(
                 "deadline_ms",
@@ -296,8 +334,8 @@
     fn problems(&self) -> Vec<Problem> {
         let mut problems = name_problems(&self.name, &self.data_centre);
         problems.extend(control_problem(&self.control));
-        problems.extend(advertised_problem("listen", self.listen));
-        problems.extend(advertised_problem("peer_listen", self.peer_listen));
+        problems.extend(advertised_problem("listen", self.address()));
+        problems.extend(advertised_problem("peer_listen", self.peer_address()));
         if self.backend.limit == 0 {
             problems.push(Problem::new(
                 "limit",
@@ -370,7 +408,7 @@
         Problem::new(
             key,
             format!("`{key}` {address} is no address that others can connect to"),
-            "give the instance's own address, which is announced to the others",
+            "give the instance's own address, or set the address to announce with `advertise`",
         )
     })
 }
--- a/crates/egretctl/src/api.rs
+++ b/crates/egretctl/src/api.rs
@@ -66,7 +66,7 @@
 
 impl Api {
     pub(crate) fn new(access: Access) -> Self {
-        Self { access, client: HttpClient::fresh() }
+        Self { access, client: HttpClient::fresh(None) }
     }
 
     /// Asks one entry after the other until one replies.
