Leave a frozen leader within a lease

Cause: one try at a control instance lasted 1.5 s, as long as a lease, so a holder whose leader froze found the next leader only after its lease was over. What is left is the data centre that is cut off, which loses its leases by promise.

--- a/crates/egret_rpc/src/client.rs
+++ b/crates/egret_rpc/src/client.rs
@@ -22,7 +22,9 @@
 };
 
 /// Longest time that one try may take.
-const TRY_TIMEOUT: Duration = Duration::from_millis(1_500);
+///
+/// It leaves room within a lease to leave a frozen leader and poll the next one.
+const TRY_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest pause between two tries.
 const PAUSE_MAX: Duration = Duration::from_millis(100);
 /// Requests that wait for the control thread.
@@ -114,7 +116,7 @@
     /// Returns [`CallError::Unreachable`] when no leader replied in time.
     pub async fn in_force(&self, revision: Revision, deadline: Instant) -> Result<bool, CallError> {
         /// Longest wait of one try.
-        const WAIT_MILLIS: u64 = 1_000;
+        const WAIT_MILLIS: u64 = 400;
         loop {
             let in_force = self
                 .until(deadline, async |client| {
