--- a/crates/egret_agent/src/fetch.rs
+++ b/crates/egret_agent/src/fetch.rs
@@ -12,7 +12,8 @@
 use egret_http::{HttpClient, read_whole};
 use egret_record::{BackendName, FastMap, ModelTarget, VersionDigest, View};
 use egret_rpc::{Connection, SharedView, schema::peer};
-use egret_weights::{Bucket, Holder, Manifest, Parent, VersionFolder, parents};
+use egret_settings::Sharing;
+use egret_weights::{Bucket, Holder, Manifest, Parent, VersionFolder, chain_parents, parents};
 use futures::{StreamExt as _, stream};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
@@ -98,6 +99,7 @@
     own: BackendName,
     /// The address of this instance from which it connects.
     from: IpAddr,
+    sharing: Sharing,
     view: SharedView,
     links: Rc<Links>,
     client: HttpClient,
@@ -110,10 +112,17 @@
 }
 
 impl Fetcher {
-    pub(crate) fn new(own: BackendName, from: IpAddr, view: SharedView, links: Rc<Links>) -> Self {
+    pub(crate) fn new(
+        own: BackendName,
+        from: IpAddr,
+        view: SharedView,
+        links: Rc<Links>,
+        sharing: Sharing,
+    ) -> Self {
         Self {
             own,
             from,
+            sharing,
             view,
             links,
             client: HttpClient::pooled(Some(from)),
@@ -166,7 +175,7 @@
         let chunk = manifest.chunks[index as usize];
         loop {
             let holders = holders(&self.view.get(), model.digest);
-            for parent in parents(chunk, &self.own, &holders) {
+            for parent in self.sources(chunk, &holders) {
                 let fetched = match &parent {
                     Parent::Agent(_, address) => {
                         self.ask_agent(*address, model.digest, index).await
@@ -195,6 +204,14 @@
         }
     }
 
+    fn sources(&self, chunk: VersionDigest, holders: &[Holder]) -> Vec<Parent> {
+        match self.sharing {
+            Sharing::Trees => parents(chunk, &self.own, holders),
+            Sharing::Chain => chain_parents(&self.own, holders),
+            Sharing::Origin => vec![Parent::Origin],
+        }
+    }
+
     async fn ask_agent(
         &self,
         address: SocketAddr,
--- a/crates/egret_agent/src/program.rs
+++ b/crates/egret_agent/src/program.rs
@@ -8,7 +8,7 @@
     Command, ControlClient, ControlHandle, Holder, LeaveReason, Request, Session, listen,
     schema::peer,
 };
-use egret_settings::{AgentSettings, BackendKind};
+use egret_settings::{AgentSettings, BackendKind, LinkSettings};
 use egret_telemetry::{MetricsError, serve_metrics};
 use egret_weights::{ChunkStore, StoreError};
 use miette::Diagnostic;
@@ -156,19 +156,18 @@
     let control = started.control.clone();
     let revision = started.revision.clone();
     let backend = settings.backend.clone();
-    let links = settings.links.clone();
+    let links = settings.links.clone().unwrap_or_default();
     let own = settings.peer_listen.ip();
     let peers = peers.into_std().expect("the listener belongs to this runtime");
     spawn_local_thread("weights", move || async move {
-        let download = links.as_ref().and_then(|links| links.download_bytes);
-        let upload = links.as_ref().and_then(|links| links.upload_bytes);
-        let links = Rc::new(Links::new(download, upload));
+        let LinkSettings { sharing, download_bytes, upload_bytes } = links;
+        let links = Rc::new(Links::new(download_bytes, upload_bytes));
         let holdings = Rc::new(Holdings::default());
         let server = PeerServer { holdings: holdings.clone(), links: links.clone() };
         let client: peer::Client = capnp_rpc::new_client(server);
         let peers = TcpListener::from_std(peers).expect("the listener is non-blocking");
         tokio::task::spawn_local(listen(peers, client.client));
-        let fetcher = Fetcher::new(shared.name.clone(), own, shared.view.clone(), links);
+        let fetcher = Fetcher::new(shared.name.clone(), own, shared.view.clone(), links, sharing);
         let engine = Engine::new(backend.address);
         let former_lease = (!backend.fencing).then_some(FORMER_LEASE);
         let rollout = Rollout { shared, control, engine, fetcher, holdings, store, former_lease };
--- a/crates/egret_bench/src/deployment.rs
+++ b/crates/egret_bench/src/deployment.rs
@@ -60,6 +60,12 @@
     pub services: Vec<(Place, String)>,
     /// More arguments of the engines.
     pub engine_args: Vec<String>,
+    /// More lines in the settings of the agents.
+    pub agent_settings: String,
+    /// Bytes a second of the origin's link; unbounded without.
+    pub origin_rate: Option<u64>,
+    /// Engines of agents that the experiment runs in its own process.
+    pub own_engines: BTreeMap<String, SocketAddr>,
     /// More lines in the settings of the control instances.
     pub control_settings: String,
     /// Delays of the links between instances.
@@ -130,7 +136,7 @@
             network,
             client: HttpClient::fresh(None),
         };
-        deployment.start_origin()?;
+        deployment.start_origin(plan.origin_rate)?;
         let mut listens = BTreeMap::new();
         for place in &plan.controls {
             let (listen, announced) = deployment.address_pair(place)?;
@@ -144,17 +150,21 @@
             deployment.start_entry(place)?;
         }
         for place in &plan.engines {
+            if let Some(engine) = plan.own_engines.get(&place.name) {
+                deployment.start_agent(place, *engine, None, &plan.agent_settings)?;
+                continue;
+            }
             let engine = free_address(Ipv4Addr::LOCALHOST.into())?;
             let mut args = vec!["engine".to_owned(), "--listen".to_owned(), engine.to_string()];
             args.extend(plan.engine_args.iter().cloned());
             deployment.spawn(&format!("engine-{}", place.name), "egret-standin", args)?;
-            deployment.start_agent(place, engine, None)?;
+            deployment.start_agent(place, engine, None, &plan.agent_settings)?;
         }
         for (place, service) in &plan.services {
             let address = free_address(Ipv4Addr::LOCALHOST.into())?;
             let args = ["service", "--listen", &address.to_string()].map(str::to_owned);
             deployment.spawn(&format!("service-{}", place.name), "egret-standin", args.to_vec())?;
-            deployment.start_agent(place, address, Some(service))?;
+            deployment.start_agent(place, address, Some(service), &plan.agent_settings)?;
         }
         Ok(deployment)
     }
@@ -338,6 +348,12 @@
         self.processes.values().filter_map(|p| p.child.as_ref()).map(Child::id).collect()
     }
 
+    /// Returns the id of a process that was started and not killed.
+    #[must_use]
+    pub fn id(&self, name: &str) -> Option<u32> {
+        self.processes.get(name)?.child.as_ref().map(Child::id)
+    }
+
     /// Returns the log of a process.
     #[must_use]
     pub fn log(&self, name: &str) -> String {
@@ -345,11 +361,15 @@
         log.and_then(|log| fs::read_to_string(log).ok()).unwrap_or_default()
     }
 
-    fn start_origin(&mut self) -> io::Result<()> {
+    fn start_origin(&mut self, rate: Option<u64>) -> io::Result<()> {
         let folder = self.folder.join("origin").display().to_string();
         let listen = self.origin.to_string();
         let args = ["origin", "--listen", &listen, "--folder", &folder].map(str::to_owned);
-        self.spawn("origin", "egret-standin", args.to_vec())
+        let mut args = args.to_vec();
+        if let Some(rate) = rate {
+            args.extend(["--rate-bytes".to_owned(), rate.to_string()]);
+        }
+        self.spawn("origin", "egret-standin", args)
     }
 
     fn start_control(&mut self, place: &Place, listen: SocketAddr, more: &str) -> io::Result<()> {
@@ -388,6 +408,7 @@
         place: &Place,
         backend: SocketAddr,
         service: Option<&String>,
+        more: &str,
     ) -> io::Result<()> {
         self.backends.insert(place.name.clone(), backend);
         let data = self.data_folder(&place.name)?;
@@ -402,7 +423,7 @@
         let settings = format!(
             "name: {}\ndata_centre: {}\nlisten: {listen}\nadvertise: {advertise}\n\
              peer_listen: {peer_listen}\npeer_advertise: {peer_advertise}\ncontrol: {}\n\
-             data_folder: {}\nbackend: {{ {kind}, address: \"{backend}\", limit: 8 }}\n",
+             data_folder: {}\nbackend: {{ {kind}, address: \"{backend}\", limit: 8 }}\n{more}",
             place.name,
             place.data_centre,
             self.control_list(),
--- a/crates/egret_bench/src/lib.rs
+++ b/crates/egret_bench/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`history`]: what operators and holders saw, and whether it may be.
 //! - [`control`]: the control state under failure.
 //! - [`control_bench`]: the measures of the control state.
+//! - [`scale`]: slopes of cost against size.
+//! - [`weights_bench`]: weights in a burst.
 //! - [`demo`]: the whole path once, with a data centre out and back.
 
 pub mod caller;
@@ -17,4 +19,7 @@
 mod http_text;
 pub mod network;
 
+pub mod scale;
+pub mod weights_bench;
+
 pub use http_text::{Reply, ask};
--- a/crates/egret_bench/src/main.rs
+++ b/crates/egret_bench/src/main.rs
@@ -17,6 +17,11 @@
         match name {
             "demo" => egret_bench::demo::run(seed).await,
             "control" => egret_bench::control_bench::run(seed).await,
+            "scale" => egret_bench::scale::run(seed).await,
+            "weights" => {
+                let agents: u16 = *matches.get_one("agents").expect("clap has a default");
+                egret_bench::weights_bench::run(usize::from(agents), seed).await
+            }
             other => Err(format!("no experiment {other:?}")),
         }
     });
@@ -36,16 +41,19 @@
         .default_value("1")
         .value_parser(value_parser!(u64))
         .help("Seed of everything random");
+    let experiment =
+        |name: &'static str, about: &'static str| Command::new(name).about(about).arg(seed.clone());
+    let agents = Arg::new("agents")
+        .long("agents")
+        .default_value("9")
+        .value_parser(value_parser!(u16).range(1..=240))
+        .help("Agents that the weights go to");
     Command::new("egret-bench")
         .about("Load and experiments over the stand-ins; never deployed.")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
-        .subcommand(
-            Command::new("demo")
-                .about("Runs the whole path once, with a data centre out and back")
-                .arg(seed.clone()),
-        )
-        .subcommand(
-            Command::new("control").about("Measures the control state under failure").arg(seed),
-        )
+        .subcommand(experiment("demo", "Runs the whole path once, with a data centre out and back"))
+        .subcommand(experiment("control", "Measures the control state under failure"))
+        .subcommand(experiment("scale", "Measures slopes of cost against size"))
+        .subcommand(experiment("weights", "Measures weights in a burst").arg(agents))
 }
--- a/crates/egret_bench/src/network.rs
+++ b/crates/egret_bench/src/network.rs
@@ -70,6 +70,8 @@
 struct Traffic {
     bytes: AtomicU64,
     pieces: AtomicU64,
+    /// Bytes from one data centre to another.
+    between: Mutex<BTreeMap<(String, String), u64>>,
 }
 
 impl Network {
@@ -130,10 +132,28 @@
     /// A piece is what one read of a socket brought, mostly one message.
     #[must_use]
     pub fn carried(&self) -> (u64, u64) {
-        let Traffic { bytes, pieces } = &*self.traffic;
+        let Traffic { bytes, pieces, .. } = &*self.traffic;
         (bytes.load(Ordering::Relaxed), pieces.load(Ordering::Relaxed))
     }
 
+    /// Returns the bytes that were carried from one data centre to another.
+    ///
+    /// # Panics
+    ///
+    /// Panics never, since no holder of the lock does.
+    #[must_use]
+    pub fn carried_between(&self) -> BTreeMap<(String, String), u64> {
+        self.traffic.between.lock().expect("no holder of the lock panics").clone()
+    }
+
+    /// Returns two data centres, if the instances are in different ones.
+    fn crossing(&self, from: IpAddr, to: IpAddr) -> Option<(String, String)> {
+        let links = self.lock();
+        let (_, one) = links.places.get(&from)?;
+        let (_, other) = links.places.get(&to)?;
+        (one != other).then(|| (one.clone(), other.clone()))
+    }
+
     /// Cuts the way from one instance or data centre to another.
     pub fn cut_one_way(&self, from: &str, to: &str) {
         self.lock().cuts.insert((from.to_owned(), to.to_owned()));
@@ -173,12 +193,18 @@
         to: IpAddr,
     ) {
         let delay = self.delay(from, to);
+        let crossing = self.crossing(from, to);
         let (sender, mut pieces) = mpsc::channel::<(Instant, Bytes)>(PIECES);
         let reading = async move {
             let mut piece = vec![0; PIECE_BYTES];
             while let Ok(length) = read.read(&mut piece).await {
                 self.traffic.bytes.fetch_add(length as u64, Ordering::Relaxed);
                 self.traffic.pieces.fetch_add(1, Ordering::Relaxed);
+                if let Some(pair) = &crossing {
+                    let between = self.traffic.between.lock();
+                    let mut between = between.expect("no holder of the lock panics");
+                    *between.entry(pair.clone()).or_default() += length as u64;
+                }
                 let arrival = Instant::now() + delay;
                 let content = Bytes::copy_from_slice(&piece[..length]);
                 if sender.send((arrival, content)).await.is_err() || length == 0 {
--- /dev/null
+++ b/crates/egret_bench/src/scale.rs
@@ -0,0 +1,403 @@
+//! Slopes of cost against size, for the page on capacity.
+//!
+//! Each experiment measures at three sizes and fits a line. Processes are real;
+//! holders are sessions of this process, as they are of entries and agents.
+
+use std::{cell::Cell, fs, rc::Rc, time::Duration};
+
+use egret_record::{
+    BackendName, BackendRole, DataCentre, Delta, IdempotencyKey, OperationId, Phase, RecordName,
+    VersionDigest, View, parse_record,
+};
+use egret_rpc::{
+    CallerRequest, ClaimKey, ClaimOutcome, Command, ControlClient, Holder, Operation, Reply,
+    Session, StoredAnswer, UnixMillis,
+};
+use tokio::{
+    task::{JoinHandle, LocalSet, spawn_local},
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    control::{leader, status},
+    deployment::{Deployment, Place, Plan},
+    network::Delays,
+};
+
+/// Time over which one size is measured.
+const MEASURED: Duration = Duration::from_secs(4);
+/// Time for a size to settle before it is measured.
+const SETTLING: Duration = Duration::from_secs(2);
+/// Ticks of processor time in a second, as Linux reports them.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Longest time for one change.
+const CHANGE_LIMIT: Duration = Duration::from_secs(10);
+/// Holders while something else is varied.
+const HOLDERS: usize = 120;
+
+/// What one size cost.
+#[derive(Debug, Clone, Copy, Default)]
+struct Cost {
+    leader_cpu: f64,
+    follower_cpu: f64,
+    entry_cpu: f64,
+    leader_bytes: f64,
+    entry_bytes: f64,
+    network_bytes: f64,
+    messages: f64,
+    snapshot_bytes: f64,
+}
+
+/// A line through points, and how far they lie from it.
+#[derive(Debug, Clone, Copy)]
+struct Fit {
+    slope: f64,
+    base: f64,
+    /// Largest distance, as a share of the largest value.
+    error: f64,
+}
+
+/// Measures all slopes and prints one result line for each.
+///
+/// # Errors
+///
+/// Returns what kept a measurement from being made.
+pub async fn run(seed: u64) -> Result<bool, String> {
+    println!("seed={seed}");
+    LocalSet::new()
+        .run_until(async {
+            holders().await?;
+            changes().await?;
+            records().await?;
+            claims().await
+        })
+        .await?;
+    views();
+    reports();
+    Ok(true)
+}
+
+/// A deployment with one entry as a process and agents as sessions.
+struct Bed {
+    deployment: Deployment,
+    client: Rc<ControlClient>,
+    sessions: Vec<Rc<Session>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Bed {
+    async fn start(holders: usize) -> Result<Self, String> {
+        let centres = ["a", "b", "c"];
+        let place = |kind: &str, centre: &str| Place::new(format!("{kind}-{centre}"), centre);
+        let plan = Plan {
+            controls: centres.iter().map(|centre| place("control", centre)).collect(),
+            entries: vec![place("entry", "a")],
+            delays: Delays::default(),
+            control_settings: "snapshot_entries: 500\n".to_owned(),
+            ..Plan::default()
+        };
+        let deployment = Deployment::start(&plan).map_err(|error| error.to_string())?;
+        let addresses: Vec<_> = deployment.controls.values().copied().collect();
+        let client = Rc::new(ControlClient::new([127, 0, 0, 1].into(), addresses.clone()));
+        status(&client).await?;
+        let mut bed = Self { deployment, client, sessions: Vec::new(), tasks: Vec::new() };
+        for number in 0..holders {
+            let (own, _) = bed.deployment.network.add(&format!("holder-{number}"), "a");
+            let client = Rc::new(ControlClient::new(own, addresses.clone()));
+            let session = Rc::new(Session::new(client, holder(number)));
+            bed.sessions.push(session.clone());
+            bed.tasks.push(spawn_local(async move { session.run().await }));
+        }
+        for session in &bed.sessions {
+            let mut opened = session.id();
+            let _ = opened.wait_for(Option::is_some).await;
+        }
+        sleep(SETTLING).await;
+        Ok(bed)
+    }
+
+    async fn measure(&self) -> Result<Cost, String> {
+        let leader = leader(&self.client).await?;
+        let followers: Vec<_> =
+            self.deployment.controls.keys().filter(|name| **name != leader).cloned().collect();
+        let cpu = |name: &str| self.deployment.id(name).map_or(0.0, cpu_seconds);
+        let before = (cpu(&leader), cpu(&followers[0]), cpu("entry-a"));
+        let carried = self.deployment.network.carried();
+        let started = Instant::now();
+        sleep(MEASURED).await;
+        let seconds = started.elapsed().as_secs_f64();
+        let after = self.deployment.network.carried();
+        let memory = |name: &str| self.deployment.id(name).map_or(0.0, resident_bytes);
+        Ok(Cost {
+            leader_cpu: (cpu(&leader) - before.0) / seconds,
+            follower_cpu: (cpu(&followers[0]) - before.1) / seconds,
+            entry_cpu: (cpu("entry-a") - before.2) / seconds,
+            leader_bytes: memory(&leader),
+            entry_bytes: memory("entry-a"),
+            network_bytes: (after.0 - carried.0) as f64 / seconds,
+            messages: (after.1 - carried.1) as f64 / seconds,
+            snapshot_bytes: self.deployment.file_bytes(&leader, "snapshot") as f64,
+        })
+    }
+
+    async fn amend(&self, id: &str, operation: Operation) -> Result<(), String> {
+        let id = OperationId::new(id).ok_or("no operation id")?;
+        let command = Command::Amend { id, expected: None, operation };
+        match self.client.call(&command.into(), Instant::now() + CHANGE_LIMIT).await {
+            Ok(Reply::Accepted { .. }) => Ok(()),
+            other => Err(format!("not accepted: {other:?}")),
+        }
+    }
+}
+
+/// Cost of each agent's session, when nothing changes.
+async fn holders() -> Result<(), String> {
+    let mut points = Vec::new();
+    for size in [60, 180, 540] {
+        let bed = Bed::start(size).await?;
+        points.push((size as f64, bed.measure().await?));
+    }
+    print("holders", &points);
+    Ok(())
+}
+
+/// Cost of each change a second, with a fixed number of holders.
+async fn changes() -> Result<(), String> {
+    let bed = Bed::start(HOLDERS).await?;
+    let mut points = Vec::new();
+    for rate in [1_u32, 10, 30] {
+        let run = load(rate, async |number| {
+            let name = DataCentre::new("elsewhere").map_err(|error| error.to_string())?;
+            let operation = Operation::SetDataCentre { name, out: number.is_multiple_of(2) };
+            bed.amend(&format!("change-{rate}-{number}"), operation).await
+        });
+        let (cost, ()) = tokio::try_join!(bed.measure(), run)?;
+        points.push((f64::from(rate), cost));
+    }
+    println!("changes_per_second with holders={HOLDERS}");
+    print("changes", &points);
+    Ok(())
+}
+
+/// Cost of each record, when nothing changes.
+async fn records() -> Result<(), String> {
+    let bed = Bed::start(HOLDERS).await?;
+    let mut points = Vec::new();
+    let mut written = 0;
+    for size in [100, 400, 1_000] {
+        while written < size {
+            let digest = VersionDigest::of(&[1]);
+            let text = format!(
+                "schema: 1\nname: record-{written}\nmodel: model-{written}\nversion: v1\n\
+                 digest: {digest}\norigin: http://127.0.0.1:1/m\nreplicas: 1\n"
+            );
+            let record = parse_record("record", &text).map_err(|error| error.to_string())?;
+            bed.amend(&format!("record-{written}"), Operation::Put(record)).await?;
+            written += 1;
+        }
+        sleep(SETTLING).await;
+        points.push((f64::from(size), bed.measure().await?));
+    }
+    print("records", &points);
+    Ok(())
+}
+
+/// Cost of each claimed request a second: a claim and its outcome.
+async fn claims() -> Result<(), String> {
+    let bed = Bed::start(9).await?;
+    let session = bed.sessions[0].id().borrow().ok_or("no session")?;
+    let done = Cell::new(0_u64);
+    let mut points = Vec::new();
+    for rate in [20_u32, 100, 300] {
+        let run = load(rate, async |number| {
+            let key = ClaimKey {
+                record: RecordName::new("register").map_err(|error| error.to_string())?,
+                key: IdempotencyKey::new(&format!("{rate}-{number}")).ok_or("no key")?,
+            };
+            let request = CallerRequest { digest: VersionDigest::of(b"x"), attempt: 1 };
+            let claim = Command::Claim { key: key.clone(), session, request, at: UnixMillis(0) };
+            let answer = StoredAnswer {
+                status: 200,
+                content_type: "application/json".to_owned(),
+                body: vec![b'x'; 200],
+            };
+            let outcome = ClaimOutcome::Answered(answer);
+            let settle = Command::Settle { key, attempt: 1, outcome };
+            for command in [claim, settle] {
+                let deadline = Instant::now() + CHANGE_LIMIT;
+                let reply = bed.client.call(&command.into(), deadline).await;
+                reply.map_err(|error| error.to_string())?;
+            }
+            done.set(done.get() + 1);
+            Ok(())
+        });
+        let (cost, ()) = tokio::try_join!(bed.measure(), run)?;
+        points.push((f64::from(rate), cost));
+    }
+    println!("claims done={}", done.get());
+    print("claims", &points);
+    Ok(())
+}
+
+/// Does something at a rate while one size is measured.
+async fn load(rate: u32, act: impl AsyncFn(u32) -> Result<(), String>) -> Result<(), String> {
+    let started = Instant::now();
+    let count = rate * u32::try_from(MEASURED.as_secs()).unwrap_or(1);
+    let acts = (0..count).map(async |number| {
+        sleep_until(started + Duration::from_secs(1) * number / rate).await;
+        act(number).await
+    });
+    futures::future::try_join_all(acts).await.map(|_| ())
+}
+
+/// Time to take one change into a view, which every holder spends.
+fn views() {
+    let points = [1_000_u32, 3_000, 10_000].map(|size| {
+        let mut state = state_of(size);
+        let mut view = View::default();
+        let _ = view.apply(state.delta(view.revision));
+        let rounds = 20;
+        let mut spent = Duration::ZERO;
+        for round in 0..rounds {
+            let name = DataCentre::new("elsewhere").expect("the constant is a name");
+            state.apply(Command::Amend {
+                id: OperationId::new(&format!("{round}")).expect("numbers are visible"),
+                expected: None,
+                operation: Operation::SetDataCentre { name, out: round % 2 == 0 },
+            });
+            let delta: Delta = state.delta(view.revision);
+            let started = std::time::Instant::now();
+            let mut next = view.clone();
+            let _ = next.apply(delta);
+            view = next;
+            spent += started.elapsed();
+        }
+        (f64::from(size), spent.as_secs_f64() * 1e6 / f64::from(rounds))
+    });
+    print_fit("view_change_micros_per_backend", &points);
+}
+
+/// Time that the control state takes for one report of a rollout.
+fn reports() {
+    let points = [1_000_u32, 3_000, 10_000].map(|size| {
+        let mut state = state_of(size);
+        let digest = VersionDigest::of(b"v1");
+        let text = format!(
+            "schema: 1\nname: drafting\nmodel: drafts\nversion: v1\ndigest: {digest}\n\
+             origin: http://127.0.0.1:1/m\nreplicas: {}\n",
+            size / 5
+        );
+        let record = parse_record("record", &text).expect("the text is a record");
+        state.apply(Command::Amend {
+            id: OperationId::new("one").expect("visible"),
+            expected: None,
+            operation: Operation::Put(record),
+        });
+        let orders: Vec<_> = state
+            .view()
+            .backends
+            .values()
+            .filter_map(|backend| Some((backend.session, backend.assignment.as_ref()?.fence)))
+            .take(20)
+            .collect();
+        let started = std::time::Instant::now();
+        for (session, fence) in &orders {
+            let phase = Phase::Live(digest);
+            state.apply(Command::Report { session: *session, fence: *fence, phase });
+        }
+        let each = started.elapsed().as_secs_f64() * 1e6 / orders.len().max(1) as f64;
+        (f64::from(size), each)
+    });
+    print_fit("report_micros_per_backend", &points);
+}
+
+fn state_of(size: u32) -> egret_control::State {
+    let mut state = egret_control::State::default();
+    for number in 0..size {
+        state.apply(Command::Join(holder(number as usize)));
+    }
+    state
+}
+
+fn holder(number: usize) -> Holder {
+    let centre = format!("dc-{}", number % 16);
+    Holder::Backend {
+        name: BackendName::new(&format!("runner-{number}")).expect("numbers make names"),
+        data_centre: DataCentre::new(&centre).expect("numbers make names"),
+        address: ([127, 0, 0, 1], 1).into(),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        role: BackendRole::Model,
+        limit: 8,
+    }
+}
+
+fn print(name: &str, points: &[(f64, Cost)]) {
+    let columns: [(&str, fn(&Cost) -> f64); 8] = [
+        ("leader_cpu_percent", |cost| cost.leader_cpu * 100.0),
+        ("follower_cpu_percent", |cost| cost.follower_cpu * 100.0),
+        ("entry_cpu_percent", |cost| cost.entry_cpu * 100.0),
+        ("leader_memory_kb", |cost| cost.leader_bytes / 1e3),
+        ("entry_memory_kb", |cost| cost.entry_bytes / 1e3),
+        ("network_bytes_per_s", |cost| cost.network_bytes),
+        ("messages_per_s", |cost| cost.messages),
+        ("snapshot_bytes", |cost| cost.snapshot_bytes),
+    ];
+    for (column, value) in columns {
+        let points: Vec<_> = points.iter().map(|(size, cost)| (*size, value(cost))).collect();
+        print_fit(&format!("{column}_per_{name}"), &points);
+    }
+}
+
+fn print_fit(name: &str, points: &[(f64, f64)]) {
+    let Fit { slope, base, error } = fit(points);
+    let shown: Vec<_> = points.iter().map(|(x, y)| format!("{x}:{y:.3}")).collect();
+    println!(
+        "result slope={name} value={slope:.6} base={base:.3} error={error:.3} points={}",
+        shown.join(",")
+    );
+}
+
+/// Fits a line by least squares.
+fn fit(points: &[(f64, f64)]) -> Fit {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let over: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let under: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let slope = over / under;
+    let base = slope.mul_add(-mean_x, mean_y);
+    let largest = points.iter().map(|(_, y)| y.abs()).fold(f64::MIN_POSITIVE, f64::max);
+    let error = points
+        .iter()
+        .map(|(x, y)| (y - slope.mul_add(*x, base)).abs() / largest)
+        .fold(0.0, f64::max);
+    Fit { slope, base, error }
+}
+
+/// Returns the processor time of a process, in seconds.
+fn cpu_seconds(id: u32) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    // The name in parentheses may hold spaces.
+    let rest = stat.rsplit(')').next().unwrap_or_default();
+    let ticks: f64 = rest
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<f64>().ok())
+        .sum();
+    ticks / TICKS_PER_SECOND
+}
+
+/// Returns the resident memory of a process, in bytes.
+fn resident_bytes(id: u32) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kib.unwrap_or(0.0) * 1_024.0
+}
--- a/crates/egret_entry/src/admin_api.rs
+++ b/crates/egret_entry/src/admin_api.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use egret_http::{headers, json, read_whole, refuse};
 use egret_record::{
     DataCentre, MemberId, OperationId, Record, RecordName, Revision, StoredRecord, parse_record,
@@ -151,8 +152,9 @@
     }
 
     async fn change_members(self, mut req: Request) -> viz::Result<Response> {
-        let body: Value = req.json().await.unwrap_or_default();
+        let body = read_body(&mut req).await;
         let handled = async {
+            let body: Value = serde_json::from_slice(&body?).unwrap_or_default();
             let request = if let Some(name) = body["add"].as_str() {
                 ControlRequest::AddMember(name.to_owned())
             } else {
@@ -253,9 +255,13 @@
     }
 }
 
-async fn read_record(req: &mut Request) -> Result<Record, Refusal> {
+async fn read_body(req: &mut Request) -> Result<Bytes, Refusal> {
     let body = req.incoming().map_err(|_| bad_request("the request has no body"))?;
-    let body = read_whole(body, RECORD_BYTES).await.map_err(|e| bad_request(&e.to_string()))?;
+    read_whole(body, RECORD_BYTES).await.map_err(|error| bad_request(&error.to_string()))
+}
+
+async fn read_record(req: &mut Request) -> Result<Record, Refusal> {
+    let body = read_body(req).await?;
     let text = std::str::from_utf8(&body).map_err(|_| bad_request("the record is not UTF-8"))?;
     parse_record("record", text)
         .map_err(|error| bad_request(&format!("{error}; {}", error.remedy())))
--- a/crates/egret_settings/src/lib.rs
+++ b/crates/egret_settings/src/lib.rs
@@ -27,7 +27,7 @@
 pub use document::{DocumentError, Problem, decode, reject};
 pub use programs::{
     AgentSettings, BackendKind, BackendSettings, ControlSettings, CtlSettings, EntrySettings,
-    LinkSettings, PeerSettings, Settings, load, parse,
+    LinkSettings, PeerSettings, Settings, Sharing, load, parse,
 };
 
 /// Imports what most programs need to read their settings.
--- a/crates/egret_settings/src/programs.rs
+++ b/crates/egret_settings/src/programs.rs
@@ -145,10 +145,26 @@
     pub fencing: bool,
 }
 
+/// Whom agents fetch chunks from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Sharing {
+    /// Along a tree for each chunk, which spreads the load evenly.
+    #[default]
+    Trees,
+    /// Along one chain of all agents; for comparison.
+    Chain,
+    /// Everybody from the origin; for comparison, or where agents cannot reach each other.
+    Origin,
+}
+
 /// Shares of the links that weight transfers may use.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LinkSettings {
+    /// Whom this agent fetches chunks from; the same for all agents.
+    #[serde(default)]
+    pub sharing: Sharing,
     /// Upload to other agents, in bytes a second.
     pub upload_bytes: Option<u64>,
     /// Download from any source, in bytes a second.
--- a/crates/egret_standin/src/engine.rs
+++ b/crates/egret_standin/src/engine.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use egret_record::VersionDigest;
+use egret_record::{FastMap, VersionDigest};
 use futures::{StreamExt as _, stream};
 use http::{HeaderValue, StatusCode, header::CONTENT_TYPE};
 use serde::{Deserialize, Serialize};
@@ -88,6 +88,8 @@
     cold_until: Option<Instant>,
     fault: Option<Fault>,
     stats: EngineStats,
+    /// Which weights each request was answered with.
+    served: FastMap<String, VersionDigest>,
 }
 
 /// A model engine.
@@ -144,6 +146,12 @@
             .post("/fault", move |req| fault.clone().set_fault(req))
     }
 
+    /// Returns which weights a request was answered with, as the engine itself knows.
+    #[must_use]
+    pub fn served(&self, request: &str) -> Option<VersionDigest> {
+        self.lock().served.get(request).copied()
+    }
+
     fn lock(&self) -> MutexGuard<'_, EngineState> {
         self.state.lock().expect("no holder of the lock panics")
     }
@@ -225,6 +233,7 @@
             let reason = json!({ "error": "no model is loaded" });
             return Ok(respond::json(StatusCode::SERVICE_UNAVAILABLE, &reason));
         };
+        self.lock().served.insert(id.clone(), content);
         let cold = self.is_cold();
         let running = self.start(cold);
         // A cold engine is slow, the slower the more it is given.
--- a/crates/egret_weights/src/lib.rs
+++ b/crates/egret_weights/src/lib.rs
@@ -26,4 +26,4 @@
 pub use bucket::Bucket;
 pub use chunk_store::{ChunkStore, Sealer, StoreError, VersionFolder};
 pub use manifest::{CHUNK_BYTES, Manifest, ManifestError};
-pub use tree::{Holder, Parent, parents};
+pub use tree::{Holder, Parent, chain_parents, parents};
--- a/crates/egret_weights/src/tree.rs
+++ b/crates/egret_weights/src/tree.rs
@@ -61,6 +61,16 @@
     sources
 }
 
+/// Returns the sources of any chunk for `own` along one chain of all holders.
+#[must_use]
+pub fn chain_parents(own: &BackendName, holders: &[Holder]) -> Vec<Parent> {
+    let mut chain: Vec<_> = holders.iter().collect();
+    chain.sort_unstable_by_key(|holder| (&holder.data_centre, &holder.name));
+    let at = chain.iter().position(|holder| holder.name == *own).unwrap_or(0);
+    let before = chain[..at].iter().rev().map(|holder| agent(holder));
+    before.chain([Parent::Origin]).collect()
+}
+
 fn agent(holder: &Holder) -> Parent {
     Parent::Agent(holder.name.clone(), holder.address)
 }
