Gather the progress of backend servers, plan a rollout once over its engines

Changes that promises hang on are never held back. A plan looks at each engine once, and a report only at its own record.

--- /dev/null
+++ b/crates/egret_bench/src/claims_bench.rs
@@ -0,0 +1,273 @@
+//! Calls that run at most once, while everything on their way is killed.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use egret_http::{HttpClient, headers};
+use egret_route::{Ran, Refusal};
+use http::Method;
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use rustix::process::Signal;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    caller::Tally,
+    demo::{plan, publish, wait_announced},
+    deployment::Deployment,
+    http_text::ask,
+};
+
+/// Callers at once.
+const CALLERS: u32 = 16;
+/// Longest wait for one answer.
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+/// Times that a call is sent until its outcome is final.
+const SENDINGS_MAX: u32 = 60;
+/// Quorum round trips that a claim may add to the median.
+const ROUND_TRIPS: f64 = 2.0;
+/// Calls that are timed while nothing fails.
+const TIMED_CALLS: u32 = 200;
+
+/// What one sending of a call brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Word {
+    /// The answer, with the number of the run that made it.
+    Answered(u64),
+    /// It did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// Nothing came.
+    Nothing,
+}
+
+/// What a call and its resends brought.
+#[derive(Debug, Clone)]
+struct Call {
+    key: String,
+    words: Vec<Word>,
+}
+
+/// What a run found.
+#[derive(Debug, Default)]
+pub struct Findings {
+    /// Calls made.
+    pub calls: u64,
+    /// Calls that the service ran more than once.
+    pub ran_twice: u64,
+    /// Calls whose last word was "not run", and that ran.
+    pub false_not_run: u64,
+    /// Calls whose last word was "unknown".
+    pub unknown: u64,
+    /// Calls with no word in the end.
+    pub no_word: u64,
+}
+
+/// Measures claims under failure; tells whether the targets are met.
+///
+/// # Errors
+///
+/// Returns what kept the measurement from being made.
+pub async fn run(calls: u32, seed: u64) -> Result<bool, String> {
+    let mut deployment = Deployment::start(&plan()).map_err(|error| error.to_string())?;
+    wait_announced(&deployment, &plan()).await?;
+    publish(&deployment, "v1", seed).await?;
+    let (plain, once, messages) = timed(&deployment).await;
+    let quorum = quorum_round_trip(&deployment).await;
+    let found = play(&mut deployment, calls, seed).await?;
+    let added = |share: f64| {
+        let (once, plain) = (once.percentile(share), plain.percentile(share));
+        once.saturating_sub(plain).as_secs_f64() * 1e3
+    };
+    let quorum = quorum.as_secs_f64() * 1e3;
+    println!(
+        "result calls={} seed={seed} ran_twice={} false_not_run={} unknown={} no_word={} \
+         claim_added_p50_ms={:.2} claim_added_p99_ms={:.2} quorum_round_trip_p50_ms={quorum:.2} \
+         messages_per_call={messages:.1}",
+        found.calls,
+        found.ran_twice,
+        found.false_not_run,
+        found.unknown,
+        found.no_word,
+        added(0.5),
+        added(0.99),
+    );
+    Ok(found.ran_twice == 0 && found.false_not_run == 0 && added(0.5) <= quorum * ROUND_TRIPS)
+}
+
+/// Makes calls and kills what is on their way.
+///
+/// # Errors
+///
+/// Returns what kept the calls from being made.
+pub async fn play(deployment: &mut Deployment, calls: u32, seed: u64) -> Result<Findings, String> {
+    let entries: Vec<_> = deployment.entries.values().copied().collect();
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let entries = entries.clone();
+        let count = calls / CALLERS;
+        callers.spawn(async move {
+            let mut random = SmallRng::seed_from_u64(seed << 16 | u64::from(number));
+            let mut made = Vec::new();
+            for at in 0..count {
+                made.push(call(&entries, format!("{number}-{at}"), &mut random).await);
+            }
+            made
+        });
+    }
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut made = Vec::new();
+    loop {
+        tokio::select! {
+            joined = callers.join_next() => match joined {
+                Some(some) => made.extend(some.map_err(|error| error.to_string())?),
+                None => break,
+            },
+            () = sleep(Duration::from_millis(700)) => fail_once(deployment, &mut random).await?,
+        }
+    }
+    let service = deployment.backends.get("register-1").ok_or("no service")?;
+    let runs = deployment.stats(*service).await;
+    let runs: BTreeMap<String, u64> = serde_json::from_value(runs).unwrap_or_default();
+    Ok(judge(&made, &runs))
+}
+
+fn judge(made: &[Call], runs: &BTreeMap<String, u64>) -> Findings {
+    let mut found = Findings { calls: made.len() as u64, ..Findings::default() };
+    for call in made {
+        let ran = runs.get(&call.key).copied().unwrap_or(0);
+        found.ran_twice += u64::from(ran > 1);
+        match call.words.last() {
+            Some(Word::NotRun) => found.false_not_run += u64::from(ran > 0),
+            Some(Word::Unknown) => found.unknown += 1,
+            Some(Word::Nothing) | None => found.no_word += 1,
+            Some(Word::Answered(run)) => found.ran_twice += u64::from(*run != 1),
+        }
+    }
+    found
+}
+
+/// Kills, or freezes for a while, one process on the way of calls.
+async fn fail_once(deployment: &mut Deployment, random: &mut SmallRng) -> Result<(), String> {
+    let centre = ["kumamoto", "fukuoka", "kagoshima"][random.random_range(0..3)];
+    let name = match random.random_range(0..5) {
+        0 => "register-1".to_owned(),
+        1 | 2 => format!("entry-{centre}"),
+        _ => format!("control-{centre}"),
+    };
+    if random.random_range(0..4) == 0 {
+        deployment.signal(&name, Signal::STOP);
+        sleep(Duration::from_millis(random.random_range(100..2_000))).await;
+        deployment.signal(&name, Signal::CONT);
+    } else {
+        deployment.kill(&name);
+        sleep(Duration::from_millis(random.random_range(20..300))).await;
+        deployment.restart(&name).map_err(|error| error.to_string())?;
+    }
+    Ok(())
+}
+
+/// Sends a call, at any entry, until its outcome is final.
+async fn call(entries: &[SocketAddr], key: String, random: &mut SmallRng) -> Call {
+    let client = HttpClient::fresh(None);
+    let mut words = Vec::new();
+    let mut unknown = 0;
+    // One in four is sent once more after its answer.
+    let resend = random.random_range(0..4) == 0;
+    for _ in 0..SENDINGS_MAX {
+        let entry = entries[random.random_range(0..entries.len())];
+        let word = send(&client, entry, &key).await;
+        unknown = if word == Word::Unknown { unknown + 1 } else { 0 };
+        let answered = matches!(word, Word::Answered(_));
+        let before = words.iter().any(|word| matches!(word, Word::Answered(_)));
+        words.push(word);
+        // An "unknown" that stays is final, as one of a request in progress is not.
+        if (answered && (before || !resend)) || unknown > 10 {
+            break;
+        }
+        if !answered {
+            sleep(Duration::from_millis(random.random_range(50..400))).await;
+        }
+    }
+    Call { key, words }
+}
+
+async fn send(client: &HttpClient, entry: SocketAddr, key: &str) -> Word {
+    let sent = [("content-type", "application/json"), (headers::KEY, key)];
+    let body = format!("{{\"tree\":\"{key}\"}}");
+    let path = "/register/orders";
+    let Ok(reply) = ask(client, Method::POST, entry, path, &sent, body, CALL_LIMIT).await else {
+        return Word::Nothing;
+    };
+    if reply.headers.contains_key(headers::REFUSED) {
+        return match Refusal::parse(&reply.body).map(|refusal| refusal.ran) {
+            Some(Ran::NotRun) => Word::NotRun,
+            Some(Ran::Unknown) => Word::Unknown,
+            None => Word::Nothing,
+        };
+    }
+    Word::Answered(reply.json()["run"].as_u64().unwrap_or(0))
+}
+
+/// Times calls while nothing fails: with a claim, and without one.
+async fn timed(deployment: &Deployment) -> (Tally, Tally, f64) {
+    let client = HttpClient::pooled(None);
+    let Some(entry) = deployment.entries.values().next().copied() else {
+        return (Tally::default(), Tally::default(), 0.0);
+    };
+    let (mut plain, mut once) = (Tally::default(), Tally::default());
+    let before = deployment.network.carried().1;
+    let started = Instant::now();
+    for number in 0..TIMED_CALLS {
+        let sent = Instant::now();
+        let _ = send(&client, entry, &format!("timed-{number}")).await;
+        once.times.push(sent.elapsed());
+    }
+    let with = (deployment.network.carried().1 - before) as f64;
+    let spent = started.elapsed();
+    let before = deployment.network.carried().1;
+    sleep(spent).await;
+    let idle = (deployment.network.carried().1 - before) as f64;
+    for _ in 0..TIMED_CALLS {
+        let sent = Instant::now();
+        let path = "/register/plain";
+        let _ = ask(&client, Method::POST, entry, path, &[], String::new(), CALL_LIMIT).await;
+        plain.times.push(sent.elapsed());
+    }
+    (plain, once, (with - idle) / f64::from(TIMED_CALLS))
+}
+
+/// Times a change from an entry until a quorum has it, by amendments that change nothing.
+async fn quorum_round_trip(deployment: &Deployment) -> Duration {
+    use egret_record::{DataCentre, OperationId};
+    use egret_rpc::{Command, ControlClient, Operation};
+    let addresses: Vec<_> = deployment.controls.values().copied().collect();
+    // From the address of the entry that timed the calls, so over the same links.
+    let from = deployment.entries.values().next().map(SocketAddr::ip);
+    let from = from.unwrap_or([127, 0, 0, 1].into());
+    let local = tokio::task::spawn_blocking(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.expect("the system allows a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async move {
+            let client = ControlClient::new(from, addresses);
+            let mut times = Vec::new();
+            for number in 0..TIMED_CALLS {
+                let command = Command::Amend {
+                    id: OperationId::new(&format!("timed-{number}")).expect("visible"),
+                    expected: None,
+                    operation: Operation::SetDataCentre {
+                        name: DataCentre::new("nowhere").expect("a name"),
+                        out: false,
+                    },
+                };
+                let sent = Instant::now();
+                let _ = client.call(&command.into(), Instant::now() + CALL_LIMIT).await;
+                times.push(sent.elapsed());
+            }
+            Tally { times, ..Tally::default() }.percentile(0.5)
+        })
+    });
+    local.await.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/egret_bench/src/cuts.rs
@@ -0,0 +1,118 @@
+//! The service that is lost while links are cut.
+//!
+//! Callers reach every entry; what is cut are links between instances, so a
+//! caller sees how well the system steers around a cut.
+
+use std::time::Duration;
+
+use egret_route::Ran;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    caller::{Ending, Event},
+    demo::{join, plan, publish, start_load, wait_announced},
+    deployment::Deployment,
+    network::Delays,
+};
+
+/// The data centre that is cut off.
+const CENTRE: &str = "fukuoka";
+/// The other data centres.
+const OTHERS: [&str; 2] = ["kumamoto", "kagoshima"];
+/// How long the load goes on before the cut and after it.
+const AROUND: Duration = Duration::from_secs(2);
+/// How long the cut lasts.
+const CUT: Duration = Duration::from_secs(6);
+
+/// What is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cut {
+    Nothing,
+    Region,
+    ControlOnly,
+    OneWayOut,
+    OneWayIn,
+}
+
+impl Cut {
+    const ALL: [Self; 5] =
+        [Self::Nothing, Self::Region, Self::ControlOnly, Self::OneWayOut, Self::OneWayIn];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Nothing => "nothing",
+            Self::Region => "region",
+            Self::ControlOnly => "control_only",
+            Self::OneWayOut => "one_way_out",
+            Self::OneWayIn => "one_way_in",
+        }
+    }
+
+    fn make(self, deployment: &Deployment) {
+        let network = &deployment.network;
+        for other in OTHERS {
+            match self {
+                Self::Nothing => {}
+                Self::Region => network.cut(CENTRE, other),
+                Self::ControlOnly => {
+                    network.cut(&format!("control-{CENTRE}"), &format!("control-{other}"));
+                }
+                Self::OneWayOut => network.cut_one_way(CENTRE, other),
+                Self::OneWayIn => network.cut_one_way(other, CENTRE),
+            }
+        }
+    }
+}
+
+/// Measures each kind of cut and prints a result line for it.
+///
+/// Tells whether no answer was lost and nothing but "not run" was said.
+///
+/// # Errors
+///
+/// Returns what kept a measurement from being made.
+pub async fn run(seed: u64) -> Result<bool, String> {
+    let mut well = true;
+    for cut in Cut::ALL {
+        let events = play(cut, seed).await?;
+        let during: Vec<_> = events
+            .iter()
+            .filter(|event| event.sent >= AROUND && event.sent < AROUND + CUT)
+            .collect();
+        let count =
+            |wanted: fn(&Ending) -> bool| during.iter().filter(|e| wanted(&e.ending)).count();
+        let whole = count(|ending| matches!(ending, Ending::Whole { .. }));
+        let not_run = count(|ending| *ending == Ending::Refused(Ran::NotRun));
+        let unknown = count(|ending| *ending == Ending::Refused(Ran::Unknown));
+        let lost = count(|ending| matches!(ending, Ending::Lost(_)));
+        let slowest = during.iter().map(|event| event.took).max().unwrap_or_default();
+        println!(
+            "result cut={} seed={seed} sent={} whole={whole} not_run={not_run} unknown={unknown} \
+             lost={lost} service={:.4} slowest_s={:.2}",
+            cut.name(),
+            during.len(),
+            whole as f64 / during.len().max(1) as f64,
+            slowest.as_secs_f64(),
+        );
+        for event in during.iter().filter(|event| matches!(event.ending, Ending::Lost(_))).take(3) {
+            println!("lost: {event:?}");
+        }
+        well &= lost == 0;
+    }
+    Ok(well)
+}
+
+async fn play(cut: Cut, seed: u64) -> Result<Vec<Event>, String> {
+    let mut plan = plan();
+    plan.delays = Delays::KUMAMOTO;
+    let deployment = Deployment::start(&plan).map_err(|error| error.to_string())?;
+    wait_announced(&deployment, &plan).await?;
+    publish(&deployment, "v1", seed).await?;
+    let start = Instant::now();
+    let load = start_load(&deployment, seed, start, AROUND + CUT + AROUND);
+    sleep(AROUND).await;
+    cut.make(&deployment);
+    sleep(CUT).await;
+    deployment.network.heal();
+    Ok(join(load).await)
+}
--- a/crates/egret_bench/src/demo.rs
+++ b/crates/egret_bench/src/demo.rs
@@ -166,7 +166,7 @@
     })
 }
 
-fn start_load(
+pub(crate) fn start_load(
     deployment: &Deployment,
     seed: u64,
     start: Instant,
@@ -195,7 +195,7 @@
     load
 }
 
-async fn join(mut load: JoinSet<Vec<Event>>) -> Vec<Event> {
+pub(crate) async fn join(mut load: JoinSet<Vec<Event>>) -> Vec<Event> {
     let mut events = Vec::new();
     while let Some(Ok(some)) = load.join_next().await {
         events.extend(some);
--- a/crates/egret_bench/src/main.rs
+++ b/crates/egret_bench/src/main.rs
@@ -16,8 +16,14 @@
     let result = runtime.block_on(async {
         match name {
             "demo" => egret_bench::demo::run(seed).await,
+            "cuts" => egret_bench::cuts::run(seed).await,
+            "traffic" => egret_bench::traffic_bench::run(seed).await,
             "control" => egret_bench::control_bench::run(seed).await,
             "scale" => egret_bench::scale::run(seed).await,
+            "claims" => {
+                let calls: u32 = *matches.get_one("calls").expect("clap has a default");
+                egret_bench::claims_bench::run(calls, seed).await
+            }
             "weights" => {
                 let agents: u16 = *matches.get_one("agents").expect("clap has a default");
                 egret_bench::weights_bench::run(usize::from(agents), seed).await
@@ -48,12 +54,20 @@
         .default_value("9")
         .value_parser(value_parser!(u16).range(1..=240))
         .help("Agents that the weights go to");
+    let calls = Arg::new("calls")
+        .long("calls")
+        .default_value("10000")
+        .value_parser(value_parser!(u32).range(16..))
+        .help("Calls that run at most once");
     Command::new("egret-bench")
         .about("Load and experiments over the stand-ins; never deployed.")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .subcommand(experiment("demo", "Runs the whole path once, with a data centre out and back"))
         .subcommand(experiment("control", "Measures the control state under failure"))
+        .subcommand(experiment("cuts", "Measures the service lost while links are cut"))
+        .subcommand(experiment("traffic", "Measures what requests and tokens cost"))
         .subcommand(experiment("scale", "Measures slopes of cost against size"))
+        .subcommand(experiment("claims", "Kills what is on the way of calls").arg(calls))
         .subcommand(experiment("weights", "Measures weights in a burst").arg(agents))
 }
--- /dev/null
+++ b/crates/egret_bench/tests/promises.rs
@@ -0,0 +1,231 @@
+//! Promises towards callers, each with the failure that it is meant for.
+
+use std::{net::SocketAddr, time::Duration};
+
+use egret_bench::{
+    Reply, ask,
+    caller::{Caller, Ending, Kind},
+    claims_bench,
+    demo::{plan, publish, wait_announced},
+    deployment::{Deployment, Place, Plan},
+};
+use egret_http::{HttpClient, headers};
+use egret_route::{Ran, Refusal};
+use http::Method;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+/// Longest wait for one answer.
+const LIMIT: Duration = Duration::from_secs(30);
+
+async fn deployment(plan: &Plan) -> Deployment {
+    let deployment = Deployment::start(plan).unwrap();
+    wait_announced(&deployment, plan).await.unwrap();
+    deployment
+}
+
+/// One data centre with one engine and one entry, and a record that is live.
+async fn small() -> Deployment {
+    let place = |name: &str| Place::new(name, "xela");
+    let plan = Plan {
+        controls: vec![place("control-1")],
+        entries: vec![place("entry-1")],
+        engines: vec![place("runner-1")],
+        ..Plan::default()
+    };
+    let deployment = deployment(&plan).await;
+    let (digest, origin) = deployment.publish("drafts", "v1", &[7; 100_000], 16_384).unwrap();
+    let record = format!(
+        "schema: 1\nname: drafting\nmodel: drafts\nversion: v1\ndigest: {digest}\n\
+         origin: {origin}\nreplicas: 1\n"
+    );
+    let path = deployment.write("record.yaml", &record).unwrap();
+    deployment.ctl(&["apply", &path]).await.unwrap();
+    deployment.ctl(&["rollout", "drafting", "--timeout-s", "30"]).await.unwrap();
+    deployment
+}
+
+fn entry(deployment: &Deployment) -> SocketAddr {
+    *deployment.entries.values().next().expect("there is an entry")
+}
+
+async fn chat(entry: SocketAddr, stream: bool) -> Reply {
+    let client = HttpClient::fresh(None);
+    let body = json!({ "model": "drafts", "stream": stream, "messages": [{ "content": "oak" }] });
+    let path = "/v1/chat/completions";
+    let sent = [("content-type", "application/json")];
+    ask(&client, Method::POST, entry, path, &sent, body.to_string(), LIMIT).await.unwrap()
+}
+
+async fn fault(deployment: &Deployment, kind: &str) {
+    let engine = deployment.backends["runner-1"];
+    let client = HttpClient::fresh(None);
+    let sent = [("content-type", "application/json")];
+    let body = json!(kind).to_string();
+    ask(&client, Method::POST, engine, "/fault", &sent, body, LIMIT).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_answer_never_reaches_a_caller() {
+    let deployment = small().await;
+    let whole = chat(entry(&deployment), false).await;
+    assert!(whole.status.is_success());
+    fault(&deployment, "crossed").await;
+    let reply = chat(entry(&deployment), false).await;
+    // The only engine is left alone for a moment, so the call is refused or was made again.
+    let content = reply.json()["choices"][0]["message"]["content"].clone();
+    let own = content == whole.json()["choices"][0]["message"]["content"];
+    let refused = Refusal::parse(&reply.body).is_some();
+    assert!(own || refused, "{reply:?}");
+    assert!(deployment.log("runner-1").contains("event=answer_crossed"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_stream_is_said_to_be_cut() {
+    let deployment = small().await;
+    fault(&deployment, "cut").await;
+    let reply = chat(entry(&deployment), true).await;
+    let text = String::from_utf8(reply.body).unwrap();
+    assert!(text.contains("event: error"), "{text}");
+    assert!(!text.contains("[DONE]"), "{text}");
+    let whole = chat(entry(&deployment), true).await;
+    let text = String::from_utf8(whole.body).unwrap();
+    assert!(text.contains("[DONE]") && !text.contains("event: error"), "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_that_was_frozen_takes_nothing_until_its_lease_is_renewed() {
+    let deployment = small().await;
+    let status = deployment.status().await.unwrap();
+    let session = |status: &Value| status["backends"][0]["session"].as_u64();
+    let before = session(&status);
+    deployment.signal("runner-1", Signal::STOP);
+    let gone = |status: &Value| status["backends"].as_array().is_some_and(Vec::is_empty);
+    deployment.wait_for(LIMIT, gone).await.expect("it leaves with its lease");
+    let reply = chat(entry(&deployment), false).await;
+    let refusal = Refusal::parse(&reply.body).expect("nobody can answer");
+    assert_eq!(refusal.ran, Ran::NotRun);
+    assert!(refusal.retry_ms.is_some());
+    deployment.signal("runner-1", Signal::CONT);
+    let back = |status: &Value| {
+        session(status) > before && status["records"][0]["live"].as_u64() == Some(1)
+    };
+    deployment.wait_for(LIMIT, back).await.expect("it comes back without a restart");
+    // The entry may hear of it a moment later than the control state.
+    let deadline = Instant::now() + LIMIT;
+    loop {
+        let reply = chat(entry(&deployment), false).await;
+        if reply.status.is_success() {
+            break;
+        }
+        assert_eq!(Refusal::parse(&reply.body).map(|refusal| refusal.ran), Some(Ran::NotRun));
+        assert!(Instant::now() < deadline, "{reply:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_agent_orders_its_engine_again_under_a_higher_fence() {
+    let mut deployment = small().await;
+    let fence = |status: &Value| status["backends"][0]["assignment"]["fence"].as_u64();
+    let before = fence(&deployment.status().await.unwrap());
+    deployment.restart("runner-1").unwrap();
+    let back =
+        |status: &Value| fence(status) > before && status["records"][0]["live"].as_u64() == Some(1);
+    deployment.wait_for(LIMIT, back).await.expect("it is live again");
+    let late = json!({ "model": "drafts", "path": "/dev/null", "fence": before });
+    let engine = deployment.backends["runner-1"];
+    let sent = [("content-type", "application/json")];
+    let client = HttpClient::fresh(None);
+    let reply =
+        ask(&client, Method::POST, engine, "/admin/load", &sent, late.to_string(), LIMIT).await;
+    assert_eq!(reply.unwrap().status.as_u16(), 409, "the engine refuses the former agent");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_order_to_an_engine_without_fencing_serves_nobody() {
+    let place = |name: &str| Place::new(name, "xela");
+    let plan = Plan {
+        controls: vec![place("control-1")],
+        entries: vec![place("entry-1")],
+        engines: vec![place("runner-1")],
+        engine_args: vec!["--ignore-fence".to_owned()],
+        ..Plan::default()
+    };
+    let deployment = deployment(&plan).await;
+    let (digest, origin) = deployment.publish("drafts", "v1", &[7; 100_000], 16_384).unwrap();
+    let record = format!(
+        "schema: 1\nname: drafting\nmodel: drafts\nversion: v1\ndigest: {digest}\n\
+         origin: {origin}\nreplicas: 1\n"
+    );
+    let path = deployment.write("record.yaml", &record).unwrap();
+    deployment.ctl(&["apply", &path]).await.unwrap();
+    deployment.ctl(&["rollout", "drafting", "--timeout-s", "30"]).await.unwrap();
+    let old = deployment.write("old-weights", "the weights of a former owner").unwrap();
+    let late = json!({ "model": "drafts", "path": old, "fence": 0 });
+    let sent = [("content-type", "application/json")];
+    let client = HttpClient::fresh(None);
+    let engine = deployment.backends["runner-1"];
+    ask(&client, Method::POST, engine, "/admin/load", &sent, late.to_string(), LIMIT)
+        .await
+        .unwrap();
+    let deadline = Instant::now() + LIMIT;
+    // Each answer is of the right version or a refusal, until the engine is put right.
+    loop {
+        let reply = chat(entry(&deployment), false).await;
+        let version = reply.headers.get(headers::VERSION).map(|value| value.to_str().unwrap());
+        if reply.status.is_success() {
+            assert_eq!(version, Some(digest.as_str()));
+            break;
+        }
+        assert!(Refusal::parse(&reply.body).is_some(), "{reply:?}");
+        assert!(Instant::now() < deadline, "the engine is not put right");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let log = deployment.log("runner-1");
+    assert!(log.contains("event=wrong_version") || log.contains("event=engine_lost"), "{log}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop_cuts_no_request() {
+    let plan = plan();
+    let mut deployment = deployment(&plan).await;
+    publish(&deployment, "v1", 5).await.unwrap();
+    let entries: Vec<_> = deployment.entries.values().copied().collect();
+    let start = Instant::now();
+    let callers: Vec<_> = (0..8)
+        .map(|number| {
+            let mut caller = Caller::new("organisation-1", entries.clone(), start);
+            tokio::spawn(async move {
+                let mut events = Vec::new();
+                while start.elapsed() < Duration::from_secs(9) {
+                    let kind = [Kind::Chat, Kind::Stream][events.len() % 2];
+                    let name = format!("caller-{number}-{}", events.len());
+                    events.push(caller.call(kind, &name).await);
+                }
+                events
+            })
+        })
+        .collect();
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(deployment.terminate("runner-fukuoka-1", LIMIT).await, Some(0));
+    assert_eq!(deployment.terminate("entry-kumamoto", LIMIT).await, Some(0));
+    for caller in callers {
+        for event in caller.await.unwrap() {
+            assert!(matches!(event.ending, Ending::Whole { .. }), "{event:?}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn registration_runs_at_most_once_whatever_is_killed() {
+    for seed in 1..=2 {
+        let plan = plan();
+        let mut deployment = deployment(&plan).await;
+        publish(&deployment, "v1", seed).await.unwrap();
+        let found = claims_bench::play(&mut deployment, 480, seed).await.unwrap();
+        println!("seed={seed} {found:?}");
+        assert_eq!((found.ran_twice, found.false_not_run), (0, 0), "seed {seed}: {found:?}");
+    }
+}
--- a/crates/egret_control/src/commands.rs
+++ b/crates/egret_control/src/commands.rs
@@ -166,9 +166,12 @@
         };
         let ordered = backend.assignment.as_ref().map_or(Fence(0), |order| order.fence);
         if ordered == fence && backend.phase != phase {
+            let record = backend.assignment.as_ref().map(|order| order.record.clone());
             backend.phase = phase;
             self.change(Change::Backend(backend));
-            self.plan_rollouts();
+            if let Some(record) = record {
+                self.plan_switches(&record);
+            }
         }
         self.accepted()
     }
--- a/crates/egret_control/src/rollout.rs
+++ b/crates/egret_control/src/rollout.rs
@@ -4,10 +4,13 @@
 //! keeps what runs, and never takes more than a share of a record's replicas
 //! from service at once.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use egret_record::{
-    Assignment, Backend, BackendName, BackendRole, Change, DataCentre, ModelTarget, Phase,
+    Assignment, Backend, BackendName, BackendRole, Change, DataCentre, FastMap, ModelTarget, Phase,
     Placement, Record, RecordName, VersionDigest,
 };
 
@@ -16,6 +19,68 @@
 /// Replicas, of which one may switch to a new version at a time.
 const REPLICAS_PER_SWITCH: usize = 4;
 
+/// The model engines by what they are assigned, so that a plan looks at each once.
+#[derive(Debug, Default)]
+struct Engines {
+    data_centres: BTreeSet<DataCentre>,
+    free: BTreeMap<DataCentre, BTreeSet<BackendName>>,
+    held: FastMap<RecordName, BTreeMap<DataCentre, Vec<BackendName>>>,
+}
+
+impl Engines {
+    fn new<'a>(backends: impl Iterator<Item = &'a Backend>) -> Self {
+        let mut engines = Self::default();
+        for backend in backends.filter(|backend| backend.role == BackendRole::Model) {
+            let (name, centre) = (backend.name.clone(), backend.data_centre.clone());
+            engines.data_centres.insert(centre.clone());
+            match &backend.assignment {
+                Some(order) => {
+                    let held = engines.held.entry(order.record.clone()).or_default();
+                    held.entry(centre).or_default().push(name);
+                }
+                None if backend.leaving => {}
+                None => {
+                    engines.free.entry(centre).or_default().insert(name);
+                }
+            }
+        }
+        engines
+    }
+
+    fn held(&self, record: &RecordName, data_centre: &DataCentre) -> Vec<BackendName> {
+        let held = self.held.get(record).and_then(|held| held.get(data_centre));
+        held.cloned().unwrap_or_default()
+    }
+
+    fn all_held(&self, record: &RecordName) -> Vec<BackendName> {
+        self.held
+            .get(record)
+            .into_iter()
+            .flat_map(|held| held.values().flatten().cloned())
+            .collect()
+    }
+
+    fn free(&self, data_centre: &DataCentre) -> impl Iterator<Item = &BackendName> {
+        self.free.get(data_centre).into_iter().flatten()
+    }
+
+    fn take(&mut self, record: &RecordName, data_centre: &DataCentre, name: &BackendName) {
+        if let Some(free) = self.free.get_mut(data_centre) {
+            free.remove(name);
+        }
+        let held = self.held.entry(record.clone()).or_default();
+        held.entry(data_centre.clone()).or_default().push(name.clone());
+    }
+
+    fn release(&mut self, record: &RecordName, data_centre: &DataCentre, name: &BackendName) {
+        let held = self.held.get_mut(record).and_then(|held| held.get_mut(data_centre));
+        if let Some(held) = held {
+            held.retain(|other| other != name);
+        }
+        self.free.entry(data_centre.clone()).or_default().insert(name.clone());
+    }
+}
+
 impl State {
     /// Brings the assignments in line with the records.
     pub(crate) fn plan_rollouts(&mut self) {
@@ -28,13 +93,30 @@
             .filter(|record| record.model().is_some())
             .collect();
         records.sort_by_key(|record| (Reverse(record.priority), record.name.clone()));
+        let mut engines = Engines::new(self.view.backends.values());
         for record in &records {
             if let Some(model) = record.model() {
-                self.plan_record(record, model);
+                self.plan_record(record, model, &mut engines);
             }
         }
     }
 
+    /// Lets more replicas of a record switch after one has come further.
+    pub(crate) fn plan_switches(&mut self, record: &RecordName) {
+        let Some(stored) = self.view.records.get(record) else { return };
+        let Some(digest) = stored.record.model().map(|model| model.digest) else { return };
+        let names: Vec<_> = self
+            .view
+            .backends
+            .values()
+            .filter(|backend| {
+                backend.assignment.as_ref().is_some_and(|order| order.record == *record)
+            })
+            .map(|backend| backend.name.clone())
+            .collect();
+        self.allow_switches(digest, &names);
+    }
+
     /// Frees the backend servers of records that are gone.
     fn release_removed(&mut self) {
         let gone: Vec<_> = self
@@ -54,34 +136,31 @@
         }
     }
 
-    fn plan_record(&mut self, record: &Record, model: &ModelTarget) {
-        for (data_centre, wanted) in self.wanted(record) {
-            self.fit_data_centre(record, model, &data_centre, wanted);
+    fn plan_record(&mut self, record: &Record, model: &ModelTarget, engines: &mut Engines) {
+        for (data_centre, wanted) in self.wanted(record, engines) {
+            self.fit_data_centre(record, model, &data_centre, wanted, engines);
         }
-        self.renew_versions(record, model);
-        self.allow_switches(record, model);
+        let names = engines.all_held(&record.name);
+        self.renew_versions(record, model, &names);
+        self.allow_switches(model.digest, &names);
     }
 
     /// Returns how many replicas each data centre shall have.
-    fn wanted(&self, record: &Record) -> BTreeMap<DataCentre, usize> {
-        let usable = |backend: &&Backend| {
-            backend.role == BackendRole::Model
-                && !backend.leaving
-                && backend.assignment.as_ref().is_none_or(|order| order.record == record.name)
-        };
-        let mut room: BTreeMap<DataCentre, usize> = BTreeMap::new();
-        for backend in self.view.backends.values().filter(|b| b.role == BackendRole::Model) {
-            room.entry(backend.data_centre.clone()).or_default();
-        }
-        for backend in self.view.backends.values().filter(usable) {
-            *room.entry(backend.data_centre.clone()).or_default() += 1;
-        }
+    fn wanted(&self, record: &Record, engines: &Engines) -> BTreeMap<DataCentre, usize> {
         match &record.placement {
-            Placement::PerDataCentre(counts) => room
-                .keys()
+            Placement::PerDataCentre(counts) => engines
+                .data_centres
+                .iter()
                 .map(|name| (name.clone(), counts.get(name).copied().unwrap_or(0) as usize))
                 .collect(),
-            Placement::Spread(total) => spread(*total as usize, &room),
+            Placement::Spread(total) => {
+                let room = engines.data_centres.iter().map(|name| {
+                    let held = engines.held(&record.name, name);
+                    let staying = held.iter().filter(|held| !self.view.backends[*held].leaving);
+                    (name.clone(), staying.count() + engines.free(name).count())
+                });
+                spread(*total as usize, &room.collect())
+            }
         }
     }
 
@@ -91,8 +170,9 @@
         model: &ModelTarget,
         data_centre: &DataCentre,
         wanted: usize,
+        engines: &mut Engines,
     ) {
-        let mut held = self.assigned(&record.name, Some(data_centre));
+        let mut held = engines.held(&record.name, data_centre);
         // Those that serve are kept longest.
         held.sort_by_key(|name| {
             let backend = &self.view.backends[name];
@@ -100,39 +180,37 @@
         });
         for name in held.iter().skip(wanted) {
             self.assign(name, None);
+            engines.release(&record.name, data_centre, name);
         }
         let missing = wanted.saturating_sub(held.len());
-        let mut free: Vec<_> = self
-            .view
-            .backends
-            .values()
-            .filter(|backend| backend.role == BackendRole::Model && !backend.leaving)
-            .filter(|backend| backend.assignment.is_none() && backend.data_centre == *data_centre)
-            .map(|backend| (rank(&record.name, &backend.name), backend.name.clone()))
-            .collect();
+        if missing == 0 {
+            return;
+        }
+        let free = engines.free(data_centre);
+        let mut free: Vec<_> = free.map(|name| (rank(&record.name, name), name.clone())).collect();
         free.sort_unstable();
         for (_, name) in free.into_iter().take(missing) {
             self.order(&name, record, model.digest);
+            engines.take(&record.name, data_centre, &name);
         }
     }
 
     /// Orders the present version where an older one is assigned.
-    fn renew_versions(&mut self, record: &Record, model: &ModelTarget) {
-        for name in self.assigned(&record.name, None) {
-            let assignment = self.view.backends[&name].assignment.as_ref();
+    fn renew_versions(&mut self, record: &Record, model: &ModelTarget, names: &[BackendName]) {
+        for name in names {
+            let assignment = self.view.backends[name].assignment.as_ref();
             if assignment.is_some_and(|order| order.digest != model.digest) {
-                self.order(&name, record, model.digest);
+                self.order(name, record, model.digest);
             }
         }
     }
 
     /// Lets some of the replicas that hold the present version switch to it.
-    fn allow_switches(&mut self, record: &Record, model: &ModelTarget) {
-        let names = self.assigned(&record.name, None);
+    fn allow_switches(&mut self, digest: VersionDigest, names: &[BackendName]) {
         let switching = names.iter().filter(|name| {
             let backend = &self.view.backends[*name];
             let ordered = backend.assignment.as_ref().is_some_and(|order| order.activate);
-            ordered && backend.phase != Phase::Live(model.digest)
+            ordered && backend.phase != Phase::Live(digest)
         });
         let most = (names.len() / REPLICAS_PER_SWITCH).max(1);
         let room = most.saturating_sub(switching.count());
@@ -141,7 +219,7 @@
             .filter(|name| {
                 let backend = &self.view.backends[*name];
                 let waits = backend.assignment.as_ref().is_some_and(|order| !order.activate);
-                waits && backend.holds(model.digest)
+                waits && backend.holds(digest)
             })
             .take(room)
             .cloned()
@@ -171,18 +249,6 @@
         backend.assignment = assignment;
         self.change(Change::Backend(backend));
     }
-
-    fn assigned(&self, record: &RecordName, data_centre: Option<&DataCentre>) -> Vec<BackendName> {
-        self.view
-            .backends
-            .values()
-            .filter(|backend| data_centre.is_none_or(|name| backend.data_centre == *name))
-            .filter(|backend| {
-                backend.assignment.as_ref().is_some_and(|order| order.record == *record)
-            })
-            .map(|backend| backend.name.clone())
-            .collect()
-    }
 }
 
 /// Spreads replicas over data centres as evenly as their room allows.
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -13,7 +13,7 @@
     read_envelope, read_member, schema::control, write_member,
 };
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time::{Instant, sleep, timeout},
 };
 
@@ -147,6 +147,7 @@
             (core.revision(), wait)
         };
         let _ = timeout(wait, revision.wait_for(|known| *known > confirmed)).await;
+        self.gather(&mut revision, confirmed).await;
         let mut core = self.core.borrow_mut();
         if !core.leads() {
             return self.not_leader_of(&core);
@@ -161,6 +162,16 @@
         Answer::Done(Some(encode(&core.state.delta(confirmed))))
     }
 
+    /// Waits for more changes as long as none is urgent.
+    async fn gather(&self, revision: &mut watch::Receiver<Revision>, confirmed: Revision) {
+        /// Longest time for which progress of backend servers is held back.
+        const GATHERING: Duration = Duration::from_millis(150);
+        let urgent = || self.core.borrow().state.is_urgent_after(confirmed);
+        if *revision.borrow() > confirmed {
+            let _ = timeout(GATHERING, revision.wait_for(|_| urgent())).await;
+        }
+    }
+
     async fn in_force(&self, revision: Revision, wait: Duration) -> Answer<bool> {
         /// Pause after which leases may have ended without a word.
         const LOOK_PERIOD: Duration = Duration::from_millis(20);
--- a/crates/egret_control/src/state.rs
+++ b/crates/egret_control/src/state.rs
@@ -119,6 +119,18 @@
         Delta::Changes { from, to: self.view.revision, changes }
     }
 
+    /// Tells whether a holder at revision `from` must learn of the rest at once.
+    ///
+    /// Progress of backend servers may wait a moment, so that a rollout to
+    /// hundreds of them does not reach every holder in as many pieces.
+    #[must_use]
+    pub fn is_urgent_after(&self, from: Revision) -> bool {
+        let start = self.changes.partition_point(|(revision, _)| *revision <= from);
+        let progress =
+            |change: &Change| matches!(change, Change::Backend(backend) if !backend.leaving);
+        from == Revision(0) || !self.changes.range(start..).all(|(_, change)| progress(change))
+    }
+
     /// Makes a change, at a revision of its own.
     pub(crate) fn change(&mut self, change: Change) -> Revision {
         let revision = self.view.revision.next();
