--- a/crates/egret_bench/src/scale.rs
+++ b/crates/egret_bench/src/scale.rs
@@ -63,6 +63,8 @@
 /// Returns what kept a measurement from being made.
 pub async fn run(seed: u64) -> Result<bool, String> {
     println!("seed={seed}");
+    views();
+    reports();
     LocalSet::new()
         .run_until(async {
             holders().await?;
@@ -72,8 +74,6 @@
             claims().await
         })
         .await?;
-    views();
-    reports();
     Ok(true)
 }
 
@@ -319,6 +319,8 @@
 
 /// Time that the control state takes for one report of a rollout.
 fn reports() {
+    /// Agents that restart.
+    const JOINS: u32 = 20;
     let points = [1_000_u32, 3_000, 10_000].map(|size| {
         let mut state = state_of(size);
         let digest = VersionDigest::of(b"v1");
@@ -346,9 +348,15 @@
             state.apply(Command::Report { session: *session, fence: *fence, phase });
         }
         let each = started.elapsed().as_secs_f64() * 1e6 / orders.len().max(1) as f64;
-        (f64::from(size), each)
+        let started = std::time::Instant::now();
+        for number in 0..JOINS {
+            state.apply(Command::Join(holder(number as usize)));
+        }
+        let join = started.elapsed().as_secs_f64() * 1e6 / f64::from(JOINS);
+        (f64::from(size), each, join)
     });
-    print_fit("report_micros_per_backend", &points);
+    print_fit("report_micros_per_backend", &points.map(|(size, report, _)| (size, report)));
+    print_fit("join_micros_per_backend", &points.map(|(size, _, join)| (size, join)));
 }
 
 fn state_of(size: u32) -> egret_control::State {
--- a/crates/egret_control/src/commands.rs
+++ b/crates/egret_control/src/commands.rs
@@ -15,6 +15,10 @@
             Command::Amend { id, expected, operation } => self.amend(id, expected, operation),
             Command::Join(holder) => self.join(holder),
             Command::Report { session, fence, phase } => self.report(session, fence, phase),
+            Command::Plan => {
+                self.plan_rollouts();
+                self.accepted()
+            }
             Command::Drain(session) => self.drain(session),
             Command::Leave { session, reason } => self.leave(session, reason),
             Command::Claim { key, session, request, at } => {
@@ -151,7 +155,7 @@
                     phase: Phase::Idle,
                     leaving: false,
                 }));
-                self.plan_rollouts();
+                self.plan_due = true;
             }
         }
         Reply::Joined { session }
@@ -203,7 +207,7 @@
             }
             Some(SessionHolder::Backend(name)) => {
                 self.change(Change::BackendLeft(name));
-                self.plan_rollouts();
+                self.plan_due = true;
             }
         }
         self.accepted()
--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -53,6 +53,8 @@
     pub(crate) introduced: FastMap<MemberId, Member>,
     journal: Journal,
     waiters: BTreeMap<Index, Waiter>,
+    /// When a plan was proposed last.
+    planned_at: Duration,
     start: Instant,
     lease: Duration,
     snapshot_entries: u64,
@@ -81,6 +83,7 @@
             introduced: FastMap::default(),
             journal: parts.journal,
             waiters: BTreeMap::new(),
+            planned_at: Duration::ZERO,
             start: parts.start,
             lease: parts.lease,
             snapshot_entries: parts.snapshot_entries,
@@ -167,9 +170,20 @@
             return;
         }
         self.end_expired_sessions(now);
+        self.plan_if_due(now);
         self.promote_learners(now);
     }
 
+    /// Proposes one plan for all that came or went in a while.
+    fn plan_if_due(&mut self, now: Duration) {
+        /// Time between two plans; short beside the time that an agent takes to start.
+        const PLAN_PERIOD: Duration = Duration::from_millis(100);
+        if self.state.is_plan_due() && now >= self.planned_at + PLAN_PERIOD {
+            self.planned_at = now;
+            let _ = self.node.propose(Payload::Command(encode(&Command::Plan)), now);
+        }
+    }
+
     fn end_expired_sessions(&mut self, now: Duration) {
         let Some(holders) = &mut self.holders else { return };
         let sessions = &self.state.sessions;
--- a/crates/egret_control/src/rollout.rs
+++ b/crates/egret_control/src/rollout.rs
@@ -84,6 +84,7 @@
 impl State {
     /// Brings the assignments in line with the records.
     pub(crate) fn plan_rollouts(&mut self) {
+        self.plan_due = false;
         self.release_removed();
         let mut records: Vec<_> = self
             .view
@@ -92,6 +93,9 @@
             .map(|stored| stored.record.clone())
             .filter(|record| record.model().is_some())
             .collect();
+        if records.is_empty() {
+            return;
+        }
         records.sort_by_key(|record| (Reverse(record.priority), record.name.clone()));
         let mut engines = Engines::new(self.view.backends.values());
         for record in &records {
--- a/crates/egret_control/src/state.rs
+++ b/crates/egret_control/src/state.rs
@@ -75,6 +75,8 @@
     changes: VecDeque<(Revision, Change)>,
     next_session: u64,
     next_fence: u64,
+    /// Whether backend servers came or went since the last plan.
+    pub(crate) plan_due: bool,
 }
 
 impl State {
@@ -89,6 +91,12 @@
         self.sessions.keys().copied()
     }
 
+    /// Tells whether backend servers came or went since the last plan.
+    #[must_use]
+    pub const fn is_plan_due(&self) -> bool {
+        self.plan_due
+    }
+
     /// Encodes the whole state.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
--- a/crates/egret_control/tests/state.rs
+++ b/crates/egret_control/tests/state.rs
@@ -118,6 +118,9 @@
     let gone = (0..6).find(|n| state.view().backends[&backend(*n)].assignment.is_some()).unwrap();
     let session = sessions[gone as usize];
     state.apply(Command::Leave { session, reason: LeaveReason::LeaseExpired });
+    assert!(state.is_plan_due(), "the leader is told to propose a plan");
+    state.apply(Command::Plan);
+    assert!(!state.is_plan_due());
     assert_eq!((assigned(&state, "a"), assigned(&state, "b")), (2, 2));
 }
 
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -219,6 +219,11 @@
         /// Why it ends.
         reason: LeaveReason,
     },
+    /// Brings the assignments in line with who is there.
+    ///
+    /// Joins and departures only note that this is due, so that a thousand of
+    /// them at once are planned for together; the leader proposes it.
+    Plan,
     /// Claims a request that may run at most once.
     Claim {
         /// The claim.
