--- a/crates/egret_agent/src/fetch.rs
+++ b/crates/egret_agent/src/fetch.rs
@@ -9,9 +9,10 @@
 };
 
 use bytes::Bytes;
+use capnp::capability::{Promise, Response};
 use egret_http::{HttpClient, read_whole};
-use egret_record::{BackendName, FastMap, ModelTarget, VersionDigest, View};
-use egret_rpc::{Connection, SharedView, schema::peer};
+use egret_record::{BackendName, ModelTarget, VersionDigest, View};
+use egret_rpc::{Connections, SharedView, schema::peer};
 use egret_settings::Sharing;
 use egret_weights::{Bucket, Holder, Manifest, Parent, VersionFolder, chain_parents, parents};
 use futures::{StreamExt as _, stream};
@@ -33,7 +34,7 @@
 const ORIGIN_REQUESTS: usize = 4;
 /// Longest wait for a sign of life of another agent.
 const PEER_TIMEOUT: Duration = Duration::from_secs(4);
-/// How long an agent may live on without the chunk before the next one is asked.
+/// How long an agent may live on without fetching anything before the next one is asked.
 const PEER_PATIENCE: Duration = Duration::from_secs(20);
 /// Longest time for one chunk from the origin.
 const ORIGIN_TIMEOUT: Duration = Duration::from_secs(60);
@@ -97,14 +98,12 @@
 #[derive(Debug)]
 pub(crate) struct Fetcher {
     own: BackendName,
-    /// The address of this instance from which it connects.
-    from: IpAddr,
     sharing: Sharing,
     view: SharedView,
     links: Rc<Links>,
     client: HttpClient,
     origin_requests: Semaphore,
-    connections: RefCell<FastMap<SocketAddr, Rc<Connection<peer::Client>>>>,
+    connections: Connections<peer::Client>,
     /// The entity tag of the weights that are being fetched.
     tag: RefCell<Option<(VersionDigest, String)>>,
     pub(crate) origin_bytes: Cell<u64>,
@@ -121,30 +120,59 @@
     ) -> Self {
         Self {
             own,
-            from,
             sharing,
             view,
             links,
             client: HttpClient::pooled(Some(from)),
             origin_requests: Semaphore::new(ORIGIN_REQUESTS),
-            connections: RefCell::default(),
+            connections: Connections::new(from),
             tag: RefCell::default(),
             origin_bytes: Cell::default(),
             peer_bytes: Cell::default(),
         }
     }
 
-    /// Fetches the manifest of a version.
+    /// Fetches the manifest of a version, from other agents where they have it.
     pub(crate) async fn manifest(&self, model: &ModelTarget) -> Result<Manifest, FetchError> {
+        let mut last = FetchError::Peer;
+        let holders = holders(&self.view.get(), model.digest);
+        for parent in self.sources(0, &holders) {
+            let fetched = match &parent {
+                Parent::Agent(_, address) => self.ask_manifest(*address, model.digest).await,
+                Parent::Origin => self.ask_origin_manifest(model).await,
+            };
+            match fetched.and_then(|json| parse(model, &json)) {
+                Ok(manifest) => return Ok(manifest),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    async fn ask_manifest(
+        &self,
+        address: SocketAddr,
+        version: VersionDigest,
+    ) -> Result<Bytes, FetchError> {
+        let until = Instant::now() + PEER_PATIENCE;
+        while Instant::now() < until {
+            let connection = self.connections.get(address).await.map_err(|_| FetchError::Peer)?;
+            let mut call = connection.client().manifest_request();
+            call.get().set_version(&version.0);
+            let answer = self.answer(address, call.send().promise).await?;
+            let answer = answer.get().map_err(|_| FetchError::Peer)?;
+            if answer.get_found() {
+                let content = answer.get_content().map_err(|_| FetchError::Peer)?;
+                return Ok(Bytes::copy_from_slice(content));
+            }
+        }
+        Err(FetchError::Peer)
+    }
+
+    async fn ask_origin_manifest(&self, model: &ModelTarget) -> Result<Bytes, FetchError> {
         let request = get(&format!("{}/manifest.json", model.origin))?;
         let (status, _, body) = self.ask_origin(request, MANIFEST_BYTES).await?;
-        if status != StatusCode::OK {
-            return Err(FetchError::Status(status));
-        }
-        Manifest::parse(&body, model.digest).map_err(|error| {
-            log::error!("event=manifest_refused model={} error=\"{error}\"", model.model);
-            FetchError::Corrupt
-        })
+        if status == StatusCode::OK { Ok(body) } else { Err(FetchError::Status(status)) }
     }
 
     /// Fetches all missing chunks of a version.
@@ -172,10 +200,9 @@
         /// Longest pause before all sources are asked again.
         const PAUSE: Duration = Duration::from_millis(500);
         let manifest = folder.borrow().manifest().clone();
-        let chunk = manifest.chunks[index as usize];
         loop {
             let holders = holders(&self.view.get(), model.digest);
-            for parent in self.sources(chunk, &holders) {
+            for parent in self.sources(index, &holders) {
                 let fetched = match &parent {
                     Parent::Agent(_, address) => {
                         self.ask_agent(*address, model.digest, index).await
@@ -204,9 +231,9 @@
         }
     }
 
-    fn sources(&self, chunk: VersionDigest, holders: &[Holder]) -> Vec<Parent> {
+    fn sources(&self, index: u32, holders: &[Holder]) -> Vec<Parent> {
         match self.sharing {
-            Sharing::Trees => parents(chunk, &self.own, holders),
+            Sharing::Trees => parents(index, &self.own, holders),
             Sharing::Chain => chain_parents(&self.own, holders),
             Sharing::Origin => vec![Parent::Origin],
         }
@@ -218,17 +245,14 @@
         version: VersionDigest,
         index: u32,
     ) -> Result<Bytes, FetchError> {
-        let until = Instant::now() + PEER_PATIENCE;
+        let mut progress = 0;
+        let mut until = Instant::now() + PEER_PATIENCE;
         while Instant::now() < until {
-            let connection = self.connection(address).await?;
+            let connection = self.connections.get(address).await.map_err(|_| FetchError::Peer)?;
             let mut call = connection.client().chunk_request();
             call.get().set_version(&version.0);
             call.get().set_index(index);
-            let answer = timeout(PEER_TIMEOUT, call.send().promise).await;
-            let Ok(Ok(answer)) = answer else {
-                self.connections.borrow_mut().remove(&address);
-                return Err(FetchError::Peer);
-            };
+            let answer = self.answer(address, call.send().promise).await?;
             let answer = answer.get().map_err(|_| FetchError::Peer)?;
             if answer.get_found() {
                 let content = answer.get_content().map_err(|_| FetchError::Peer)?;
@@ -237,22 +261,25 @@
                 self.links.pay_download(content.len()).await;
                 return Ok(content);
             }
+            if answer.get_progress() > progress {
+                progress = answer.get_progress();
+                until = Instant::now() + PEER_PATIENCE;
+            }
         }
         Err(FetchError::Peer)
     }
 
-    async fn connection(
+    /// Waits for an agent's answer, and leaves the connection when none comes.
+    async fn answer<T: capnp::traits::Owned>(
         &self,
         address: SocketAddr,
-    ) -> Result<Rc<Connection<peer::Client>>, FetchError> {
-        let known = self.connections.borrow().get(&address).cloned();
-        if let Some(known) = known.filter(|known| !known.is_closed()) {
-            return Ok(known);
+        promise: Promise<Response<T>, capnp::Error>,
+    ) -> Result<Response<T>, FetchError> {
+        if let Ok(Ok(answer)) = timeout(PEER_TIMEOUT, promise).await {
+            return Ok(answer);
         }
-        let opened = Connection::open(self.from, address).await.map_err(|_| FetchError::Peer)?;
-        let opened = Rc::new(opened);
-        self.connections.borrow_mut().insert(address, opened.clone());
-        Ok(opened)
+        self.connections.remove(address);
+        Err(FetchError::Peer)
     }
 
     async fn ask_weights(
@@ -333,6 +360,13 @@
         .collect()
 }
 
+fn parse(model: &ModelTarget, json: &[u8]) -> Result<Manifest, FetchError> {
+    Manifest::parse(json, model.digest).map_err(|error| {
+        log::error!("event=manifest_refused model={} error=\"{error}\"", model.model);
+        FetchError::Corrupt
+    })
+}
+
 fn get(uri: &str) -> Result<Request<Full<Bytes>>, FetchError> {
     Request::get(uri).body(Full::default()).map_err(|error| FetchError::Origin(error.to_string()))
 }
--- a/crates/egret_agent/src/peer_server.rs
+++ b/crates/egret_agent/src/peer_server.rs
@@ -21,12 +21,22 @@
 }
 
 /// The versions that this agent holds or fetches.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Holdings {
     versions: RefCell<FastMap<VersionDigest, Held>>,
+    /// Notified when a version is added.
+    added: watch::Sender<()>,
 }
 
 impl Holdings {
+    pub(crate) fn new() -> Self {
+        Self { versions: RefCell::default(), added: watch::Sender::new(()) }
+    }
+
+    fn known(&self) -> watch::Receiver<()> {
+        self.added.subscribe()
+    }
+
     pub(crate) fn get(&self, digest: VersionDigest) -> Option<Held> {
         self.versions.borrow().get(&digest).cloned()
     }
@@ -35,6 +45,7 @@
         let progress = watch::Sender::new(folder.held().len());
         let held = Held { folder: Rc::new(RefCell::new(folder)), progress };
         self.versions.borrow_mut().insert(digest, held.clone());
+        self.added.send_replace(());
         held
     }
 
@@ -104,6 +115,28 @@
             answer.set_found(true);
             answer.set_content(&content);
         }
+        let held = self.holdings.get(digest);
+        let progress = held.map_or(0, |held| held.folder.borrow().held().len());
+        results.get().set_progress(u32::try_from(progress).unwrap_or(u32::MAX));
+        Ok(())
+    }
+
+    async fn manifest(
+        self: Rc<Self>,
+        params: peer::ManifestParams,
+        mut results: peer::ManifestResults,
+    ) -> capnp::Result<()> {
+        let digest = digest_of(params.get()?.get_version()?)?;
+        let mut known = self.holdings.known();
+        let _ = timeout(WAIT, known.wait_for(|_| self.holdings.get(digest).is_some())).await;
+        if let Some(held) = self.holdings.get(digest) {
+            let content = serde_json::to_vec(held.folder.borrow().manifest());
+            let content = content.map_err(|error| capnp::Error::failed(error.to_string()))?;
+            self.links.pay_upload(content.len()).await;
+            let mut answer = results.get();
+            answer.set_found(true);
+            answer.set_content(&content);
+        }
         Ok(())
     }
 }
--- a/crates/egret_agent/src/program.rs
+++ b/crates/egret_agent/src/program.rs
@@ -1,6 +1,6 @@
 //! The program `egret-agent`.
 
-use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use egret_http::PromptListener;
 use egret_record::{BackendName, BackendRole, DataCentre, NameError, Revision};
@@ -10,14 +10,13 @@
     schema::peer,
 };
 use egret_settings::{AgentSettings, BackendKind, LinkSettings};
-use egret_telemetry::{MetricsError, serve_metrics};
+use egret_telemetry::{ListenError, MetricsError, bind, serve_metrics, spawn_local_thread};
 use egret_weights::{ChunkStore, StoreError};
 use miette::Diagnostic;
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
     sync::{oneshot, watch},
-    task::LocalSet,
     time::Instant,
 };
 
@@ -40,15 +39,10 @@
 /// Why the program ends.
 #[derive(Debug, Error, Diagnostic)]
 pub enum ProgramError {
-    /// The address cannot be used.
-    #[error("cannot listen on {address}: {source}")]
-    #[diagnostic(help("correct the address in the settings, or stop what uses it"))]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// What the system said.
-        source: io::Error,
-    },
+    /// An address cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Listen(#[from] ListenError),
     /// A name in the settings is no name.
     #[error(transparent)]
     #[diagnostic(help("correct the name in the settings"))]
@@ -106,11 +100,6 @@
     Ok(())
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, ProgramError> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|source| ProgramError::Listen { address, source })
-}
-
 fn holder(settings: &AgentSettings) -> Result<Holder, ProgramError> {
     let role = match &settings.backend.service {
         Some(service) => BackendRole::Service(service.clone()),
@@ -163,7 +152,7 @@
     spawn_local_thread("weights", move || async move {
         let LinkSettings { sharing, download_bytes, upload_bytes } = links;
         let links = Rc::new(Links::new(download_bytes, upload_bytes));
-        let holdings = Rc::new(Holdings::default());
+        let holdings = Rc::new(Holdings::new());
         let server = PeerServer { holdings: holdings.clone(), links: links.clone() };
         let client: peer::Client = capnp_rpc::new_client(server);
         let peers = TcpListener::from_std(peers).expect("the listener is non-blocking");
@@ -195,16 +184,3 @@
         let _ = control.call(Request::from(leave), Instant::now() + STOP_TIMEOUT).await;
     }
 }
-
-fn spawn_local_thread<F, R>(name: &str, run: F)
-where
-    F: FnOnce() -> R + Send + 'static,
-    R: Future<Output = ()>,
-{
-    let thread = std::thread::Builder::new().name(name.to_owned()).spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.expect("the system allows a runtime");
-        LocalSet::new().block_on(&runtime, run());
-    });
-    thread.expect("the system allows a thread");
-}
--- a/crates/egret_bench/examples/control_faults.rs
+++ b/crates/egret_bench/examples/control_faults.rs
@@ -2,24 +2,12 @@
 //!
 //! `cargo run -p egret_bench --example control_faults -- SEED`
 
-use egret_bench::{
-    control::{Guards, Options, run},
-    network::Delays,
-};
+use egret_bench::control::{Guards, Options, run};
 
 #[tokio::main]
 async fn main() -> Result<(), String> {
     let seed = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(1);
-    let options = Options {
-        seed,
-        controls: 5,
-        entries: 3,
-        agents: 5,
-        operators: 3,
-        faults: 2,
-        delays: Delays::KUMAMOTO,
-        guards: Guards::default(),
-    };
+    let options = Options::small(seed, Guards::default());
     let found = run(options).await?;
     println!("leased={:.3} faults={:?}", found.leased, found.faults);
     for amendment in &found.history.amendments {
--- a/crates/egret_bench/src/control.rs
+++ b/crates/egret_bench/src/control.rs
@@ -73,6 +73,23 @@
     pub guards: Guards,
 }
 
+impl Options {
+    /// Returns a run of a few seconds: five control instances, two faults.
+    #[must_use]
+    pub const fn small(seed: u64, guards: Guards) -> Self {
+        Self {
+            seed,
+            controls: 5,
+            entries: 3,
+            agents: 5,
+            operators: 3,
+            faults: 2,
+            delays: Delays::KUMAMOTO,
+            guards,
+        }
+    }
+}
+
 /// What a run found.
 #[derive(Debug, Clone, Default)]
 pub struct Findings {
--- a/crates/egret_bench/src/control_bench.rs
+++ b/crates/egret_bench/src/control_bench.rs
@@ -126,7 +126,7 @@
 
 async fn change(client: &ControlClient, id: &str, out: bool) -> Result<(), String> {
     let command = Command::Amend {
-        id: OperationId::new(id).ok_or("no operation id")?,
+        id: OperationId::new(id).map_err(|error| error.to_string())?,
         expected: None,
         operation: Operation::SetDataCentre {
             name: DataCentre::new("elsewhere").map_err(|error| error.to_string())?,
--- a/crates/egret_bench/src/demo.rs
+++ b/crates/egret_bench/src/demo.rs
@@ -41,6 +41,7 @@
     new_work_after_out: u64,
     false_not_run: u64,
     ran_twice: u64,
+    cold_overloads: u64,
     bad_exits: Vec<String>,
 }
 
@@ -149,6 +150,7 @@
     let events = join(load).await;
 
     let runs = runs(&deployment).await;
+    let cold_overloads = cold_overloads(&deployment).await;
     let bad_exits = stop_all(&mut deployment).await;
     let untrue = |event: &&Event| {
         event.kind == Kind::Register
@@ -162,6 +164,7 @@
         false_not_run: events.iter().filter(untrue).count() as u64,
         ran_twice: runs.values().filter(|runs| **runs > 1).count() as u64,
         events,
+        cold_overloads,
         bad_exits,
     })
 }
@@ -214,6 +217,15 @@
     started
 }
 
+/// Returns how many requests came to cold engines beyond what they bear.
+async fn cold_overloads(deployment: &Deployment) -> u64 {
+    let mut overloads = 0;
+    for address in deployment.backends.values() {
+        overloads += deployment.stats(*address).await["cold_overloads"].as_u64().unwrap_or(0);
+    }
+    overloads
+}
+
 async fn runs(deployment: &Deployment) -> BTreeMap<String, u64> {
     let Some(service) = deployment.backends.get("register-1") else {
         return BTreeMap::new();
@@ -269,16 +281,19 @@
         + found.false_not_run
         + found.ran_twice
         + found.new_work_after_out
+        + found.cold_overloads
         + found.bad_exits.len() as u64;
     println!(
         "result seed={seed} time_to_live_s={:.2} origin_copies={:.2} sent={sent} whole={whole} \
          refused_not_run={not_run} refused_unknown={unknown} lost={lost} ran_twice={} \
-         false_not_run={} new_work_after_out={} violations={violations}",
+         false_not_run={} new_work_after_out={} \
+         cold_overloads={} violations={violations}",
         found.time_to_live.as_secs_f64(),
         found.origin_copies,
         found.ran_twice,
         found.false_not_run,
         found.new_work_after_out,
+        found.cold_overloads,
     );
     violations == 0 && whole > 0
 }
--- a/crates/egret_bench/src/deployment.rs
+++ b/crates/egret_bench/src/deployment.rs
@@ -5,22 +5,21 @@
 
 use std::{
     collections::BTreeMap,
-    fs::{self, File},
-    io,
+    fs, io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
     time::Duration,
 };
 
 use egret_http::HttpClient;
 use egret_weights::Manifest;
 use http::Method;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    child::ChildProcess,
     http_text::ask,
     network::{Delays, Network},
 };
@@ -72,21 +71,12 @@
     pub delays: Delays,
 }
 
-/// A process with what is needed to start it again.
-#[derive(Debug)]
-struct Process {
-    program: PathBuf,
-    args: Vec<String>,
-    log: PathBuf,
-    child: Option<Child>,
-}
-
 /// The programs as processes of this machine.
 #[derive(Debug)]
 pub struct Deployment {
     folder: PathBuf,
     binaries: PathBuf,
-    processes: BTreeMap<String, Process>,
+    processes: BTreeMap<String, ChildProcess>,
     /// The addresses of the entries, by name.
     pub entries: BTreeMap<String, SocketAddr>,
     /// The addresses of the engines and services, by the name of their agent.
@@ -102,12 +92,7 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        for process in self.processes.values_mut() {
-            if let Some(child) = &mut process.child {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
-        }
+        self.processes.values_mut().for_each(ChildProcess::kill);
         if std::env::var_os("EGRET_KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
@@ -274,18 +259,15 @@
 
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: Signal) {
-        let child = self.processes.get(name).and_then(|process| process.child.as_ref());
-        let pid = child.and_then(|child| i32::try_from(child.id()).ok()).and_then(Pid::from_raw);
-        if let Some(pid) = pid {
-            let _ = kill_process(pid, signal);
+        if let Some(process) = self.processes.get(name) {
+            process.signal(signal);
         }
     }
 
     /// Kills a process without a warning.
     pub fn kill(&mut self, name: &str) {
-        if let Some(mut child) = self.processes.get_mut(name).and_then(|p| p.child.take()) {
-            let _ = child.kill();
-            let _ = child.wait();
+        if let Some(process) = self.processes.get_mut(name) {
+            process.kill();
         }
     }
 
@@ -295,9 +277,8 @@
     ///
     /// Returns the system's error when it cannot be started.
     pub fn restart(&mut self, name: &str) -> io::Result<()> {
-        self.kill(name);
         match self.processes.get_mut(name) {
-            Some(process) => process.start(),
+            Some(process) => process.restart(),
             None => Err(io::Error::other(format!("no process {name}"))),
         }
     }
@@ -324,13 +305,10 @@
     pub async fn terminate(&mut self, name: &str, limit: Duration) -> Option<i32> {
         self.signal(name, Signal::TERM);
         let deadline = Instant::now() + limit;
-        let child = self.processes.get_mut(name)?.child.as_mut()?;
         loop {
-            if let Ok(Some(status)) = child.try_wait() {
-                return status.code();
-            }
-            if Instant::now() >= deadline {
-                return None;
+            let code = self.processes.get_mut(name)?.exit_code();
+            if code.is_some() || Instant::now() >= deadline {
+                return code;
             }
             sleep(LOOK_PERIOD).await;
         }
@@ -345,20 +323,19 @@
     /// Returns the ids of the processes that were started and not killed.
     #[must_use]
     pub fn ids(&self) -> Vec<u32> {
-        self.processes.values().filter_map(|p| p.child.as_ref()).map(Child::id).collect()
+        self.processes.values().filter_map(ChildProcess::id).collect()
     }
 
     /// Returns the id of a process that was started and not killed.
     #[must_use]
     pub fn id(&self, name: &str) -> Option<u32> {
-        self.processes.get(name)?.child.as_ref().map(Child::id)
+        self.processes.get(name)?.id()
     }
 
     /// Returns the log of a process.
     #[must_use]
     pub fn log(&self, name: &str) -> String {
-        let log = self.processes.get(name).map(|process| process.log.clone());
-        log.and_then(|log| fs::read_to_string(log).ok()).unwrap_or_default()
+        self.processes.get(name).map(ChildProcess::log).unwrap_or_default()
     }
 
     fn start_origin(&mut self, rate: Option<u64>) -> io::Result<()> {
@@ -455,32 +432,12 @@
     fn spawn(&mut self, name: &str, program: &str, args: Vec<String>) -> io::Result<()> {
         let folder = self.folder.join(name);
         fs::create_dir_all(&folder)?;
-        let mut process = Process {
-            program: self.binaries.join(program),
-            args,
-            log: folder.join("log"),
-            child: None,
-        };
-        process.start()?;
+        let process = ChildProcess::start(self.binaries.join(program), args, folder.join("log"))?;
         self.processes.insert(name.to_owned(), process);
         Ok(())
     }
 }
 
-impl Process {
-    fn start(&mut self) -> io::Result<()> {
-        let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.program)
-            .args(&self.args)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.child = Some(child);
-        Ok(())
-    }
-}
-
 /// Takes a free port of an address from the kernel.
 ///
 /// # Errors
--- a/crates/egret_bench/src/lib.rs
+++ b/crates/egret_bench/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`demo`]: the whole path once, with a data centre out and back.
 
 pub mod caller;
+mod child;
 pub mod claims_bench;
 pub mod control;
 pub mod control_bench;
--- a/crates/egret_bench/src/main.rs
+++ b/crates/egret_bench/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, Command, value_parser};
+use rustix::process::{Resource, getrlimit, setrlimit};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -12,6 +13,7 @@
         return ExitCode::from(2);
     };
     let seed: u64 = *matches.get_one("seed").expect("clap has a default");
+    raise_file_limit();
     let runtime = tokio::runtime::Runtime::new().expect("the system allows a runtime");
     let result = runtime.block_on(async {
         match name {
@@ -41,6 +43,17 @@
     }
 }
 
+/// Allows as many open files as the system lets a process have.
+///
+/// The forwarders hold two connections for each between processes.
+fn raise_file_limit() {
+    let mut limit = getrlimit(Resource::Nofile);
+    limit.current = limit.maximum;
+    if let Err(error) = setrlimit(Resource::Nofile, limit) {
+        eprintln!("the limit on open files stays as it is: {error}");
+    }
+}
+
 fn command() -> Command {
     let seed = Arg::new("seed")
         .long("seed")
--- a/crates/egret_bench/src/network.rs
+++ b/crates/egret_bench/src/network.rs
@@ -24,11 +24,13 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::{Notify, mpsc},
-    time::{Instant, sleep_until},
+    time::{Instant, sleep, sleep_until},
 };
 
 /// Pieces that may be on their way in one direction of a connection.
 const PIECES: usize = 64;
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Largest piece, in bytes.
 const PIECE_BYTES: usize = 64 * 1024;
 
@@ -119,7 +121,12 @@
         let listener = TcpListener::from_std(listener)?;
         let network = self.clone();
         tokio::spawn(async move {
-            while let Ok((stream, from)) = listener.accept().await {
+            loop {
+                let Ok((stream, from)) = listener.accept().await else {
+                    eprintln!("a connection could not be accepted; raise the limit on open files");
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                };
                 let network = network.clone();
                 tokio::spawn(async move { network.connect(stream, from.ip(), target).await });
             }
--- a/crates/egret_bench/src/scale.rs
+++ b/crates/egret_bench/src/scale.rs
@@ -47,6 +47,9 @@
     snapshot_bytes: f64,
 }
 
+/// Takes one figure out of a cost.
+type Column = fn(&Cost) -> f64;
+
 /// A line through points, and how far they lie from it.
 #[derive(Debug, Clone, Copy)]
 struct Fit {
@@ -147,7 +150,7 @@
     }
 
     async fn amend(&self, id: &str, operation: Operation) -> Result<(), String> {
-        let id = OperationId::new(id).ok_or("no operation id")?;
+        let id = OperationId::new(id).map_err(|error| error.to_string())?;
         let command = Command::Amend { id, expected: None, operation };
         match self.client.call(&command.into(), Instant::now() + CHANGE_LIMIT).await {
             Ok(Reply::Accepted { .. }) => Ok(()),
@@ -252,7 +255,8 @@
         let run = load(rate, async |number| {
             let key = ClaimKey {
                 record: RecordName::new("register").map_err(|error| error.to_string())?,
-                key: IdempotencyKey::new(&format!("{rate}-{number}")).ok_or("no key")?,
+                key: IdempotencyKey::new(&format!("{rate}-{number}"))
+                    .map_err(|error| error.to_string())?,
             };
             let request = CallerRequest { digest: VersionDigest::of(b"x"), attempt: 1 };
             let claim = Command::Claim { key: key.clone(), session, request, at: UnixMillis(0) };
@@ -380,7 +384,7 @@
 }
 
 fn print(name: &str, points: &[(f64, Cost)]) {
-    let columns: [(&str, fn(&Cost) -> f64); 8] = [
+    let columns: [(&str, Column); 8] = [
         ("leader_cpu_percent", |cost| cost.leader_cpu * 100.0),
         ("follower_cpu_percent", |cost| cost.follower_cpu * 100.0),
         ("entry_cpu_percent", |cost| cost.entry_cpu * 100.0),
--- a/crates/egret_bench/tests/control.rs
+++ b/crates/egret_bench/tests/control.rs
@@ -11,27 +11,11 @@
     thread,
 };
 
-use egret_bench::{
-    control::{Findings, Guards, Options, run},
-    network::Delays,
-};
+use egret_bench::control::{Findings, Guards, Options, run};
 
 /// Runs at once, each with five control processes.
 const PARALLEL: usize = 6;
 
-fn options(seed: u64, guards: Guards) -> Options {
-    Options {
-        seed,
-        controls: 5,
-        entries: 3,
-        agents: 5,
-        operators: 3,
-        faults: 2,
-        delays: Delays::KUMAMOTO,
-        guards,
-    }
-}
-
 fn play(options: Options) -> Findings {
     let runtime = tokio::runtime::Runtime::new().unwrap();
     runtime.block_on(run(options)).unwrap_or_else(|error| panic!("seed {}: {error}", options.seed))
@@ -53,7 +37,7 @@
                     if seed >= seeds() {
                         return;
                     }
-                    let found = play(options(seed, Guards::default()));
+                    let found = play(Options::small(seed, Guards::default()));
                     let violations = found.history.violations();
                     println!(
                         "seed={seed} amendments={} beliefs={} faults={:?}",
@@ -74,7 +58,7 @@
 
 fn violations_without(guards: Guards) -> Vec<String> {
     (0..5)
-        .map(|seed| play(options(seed, guards)).history.violations())
+        .map(|seed| play(Options::small(seed, guards)).history.violations())
         .find(|violations| !violations.is_empty())
         .unwrap_or_default()
 }
--- a/crates/egret_bench/tests/promises.rs
+++ b/crates/egret_bench/tests/promises.rs
@@ -27,11 +27,17 @@
 
 /// One data centre with one engine and one entry, and a record that is live.
 async fn small() -> Deployment {
+    small_with(&[]).await.0
+}
+
+/// The same with arguments for the engine; returns the version's digest as well.
+async fn small_with(engine_args: &[&str]) -> (Deployment, String) {
     let place = |name: &str| Place::new(name, "xela");
     let plan = Plan {
         controls: vec![place("control-1")],
         entries: vec![place("entry-1")],
         engines: vec![place("runner-1")],
+        engine_args: engine_args.iter().map(|arg| (*arg).to_owned()).collect(),
         ..Plan::default()
     };
     let deployment = deployment(&plan).await;
@@ -43,7 +49,7 @@
     let path = deployment.write("record.yaml", &record).unwrap();
     deployment.ctl(&["apply", &path]).await.unwrap();
     deployment.ctl(&["rollout", "drafting", "--timeout-s", "30"]).await.unwrap();
-    deployment
+    (deployment, digest)
 }
 
 fn entry(deployment: &Deployment) -> SocketAddr {
@@ -145,23 +151,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn late_order_to_an_engine_without_fencing_serves_nobody() {
-    let place = |name: &str| Place::new(name, "xela");
-    let plan = Plan {
-        controls: vec![place("control-1")],
-        entries: vec![place("entry-1")],
-        engines: vec![place("runner-1")],
-        engine_args: vec!["--ignore-fence".to_owned()],
-        ..Plan::default()
-    };
-    let deployment = deployment(&plan).await;
-    let (digest, origin) = deployment.publish("drafts", "v1", &[7; 100_000], 16_384).unwrap();
-    let record = format!(
-        "schema: 1\nname: drafting\nmodel: drafts\nversion: v1\ndigest: {digest}\n\
-         origin: {origin}\nreplicas: 1\n"
-    );
-    let path = deployment.write("record.yaml", &record).unwrap();
-    deployment.ctl(&["apply", &path]).await.unwrap();
-    deployment.ctl(&["rollout", "drafting", "--timeout-s", "30"]).await.unwrap();
+    let (deployment, digest) = small_with(&["--ignore-fence"]).await;
     let old = deployment.write("old-weights", "the weights of a former owner").unwrap();
     let late = json!({ "model": "drafts", "path": old, "fence": 0 });
     let sent = [("content-type", "application/json")];
--- a/crates/egret_control/src/program.rs
+++ b/crates/egret_control/src/program.rs
@@ -1,15 +1,15 @@
 //! The program `egret-control`.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use egret_consensus::{Member, Node, Persisted, Timing};
 use egret_rpc::{listen, schema::control};
 use egret_settings::ControlSettings;
 use egret_store::{DataFolder, Journal, StoreError};
-use egret_telemetry::{MetricsError, serve_metrics};
+use egret_telemetry::{ListenError, MetricsError, bind, serve_metrics};
 use miette::Diagnostic;
 use thiserror::Error;
-use tokio::{net::TcpListener, sync::mpsc, task::LocalSet, time::Instant};
+use tokio::{sync::mpsc, task::LocalSet, time::Instant};
 
 use crate::{
     bootstrap,
@@ -25,15 +25,10 @@
 /// Why the program ends.
 #[derive(Debug, Error, Diagnostic)]
 pub enum ProgramError {
-    /// The address cannot be used.
-    #[error("cannot listen on {address}: {source}")]
-    #[diagnostic(help("correct `listen` in the settings, or stop what uses the address"))]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// What the system said.
-        source: io::Error,
-    },
+    /// An address cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Listen(#[from] ListenError),
     /// The state on disk is of a newer program or damaged.
     #[error("the snapshot in the data folder cannot be read: {0}")]
     #[diagnostic(help("start the version that wrote it, or rejoin with an empty data folder"))]
@@ -66,10 +61,7 @@
 ) -> Result<(), ProgramError> {
     let folder = DataFolder::open(&settings.data_folder)?;
     serve_metrics(settings.metrics).await?;
-    let address = settings.listen;
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|source| ProgramError::Listen { address, source })?;
+    let listener = bind(settings.listen).await?;
     let own = folder.identity();
     log::info!(
         "event=started program=egret-control name={} identity={:016x}",
--- a/crates/egret_control/tests/state.rs
+++ b/crates/egret_control/tests/state.rs
@@ -76,7 +76,7 @@
     assert!(matches!(put(&mut state, "one", Some(0), record("v1", 1)), Reply::Accepted { .. }));
     let reply = put(&mut state, "two", Some(0), record("v2", 1));
     let Reply::Conflict { revision, winner } = reply else { panic!("{reply:?}") };
-    assert_eq!(winner, OperationId::new("one"));
+    assert_eq!(winner, OperationId::new("one").ok());
     assert!(matches!(
         put(&mut state, "three", Some(revision.0), record("v2", 1)),
         Reply::Accepted { .. }
--- a/crates/egret_entry/src/admin_api.rs
+++ b/crates/egret_entry/src/admin_api.rs
@@ -196,13 +196,8 @@
 
     async fn amend(&self, req: &Request, operation: Operation) -> Handled {
         let id: Option<String> = req.header(headers::OPERATION);
-        let id = match id {
-            Some(text) => OperationId::new(&text).ok_or_else(|| {
-                bad_request("the operation id is not 1 to 200 visible characters")
-            })?,
-            None => OperationId::new(&format!("{:032x}", rand::random::<u128>()))
-                .ok_or_else(|| bad_request("no operation id"))?,
-        };
+        let id = id.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+        let id = OperationId::new(&id).map_err(|error| bad_request(&error.to_string()))?;
         let expected: Option<u64> = req.header(headers::EXPECTED);
         let expected = expected.map(Revision);
         let command = Command::Amend { id, expected, operation };
--- a/crates/egret_entry/src/program.rs
+++ b/crates/egret_entry/src/program.rs
@@ -1,15 +1,15 @@
 //! The program `egret-entry`.
 
-use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use egret_http::PromptListener;
 use egret_record::{DataCentre, EntryName, NameError};
 use egret_rpc::{Command, ControlClient, ControlHandle, Holder, LeaveReason, Request, Session};
 use egret_settings::EntrySettings;
-use egret_telemetry::{MetricsError, serve_metrics};
+use egret_telemetry::{ListenError, MetricsError, bind, serve_metrics, spawn_local_thread};
 use miette::Diagnostic;
 use thiserror::Error;
-use tokio::{net::TcpListener, sync::oneshot, task::LocalSet, time::Instant};
+use tokio::{sync::oneshot, time::Instant};
 use viz::Router;
 
 use crate::{
@@ -24,15 +24,10 @@
 /// Why the program ends.
 #[derive(Debug, Error, Diagnostic)]
 pub enum ProgramError {
-    /// The address cannot be used.
-    #[error("cannot listen on {address}: {source}")]
-    #[diagnostic(help("correct `listen` in the settings, or stop what uses the address"))]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// What the system said.
-        source: io::Error,
-    },
+    /// An address cannot be used.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Listen(#[from] ListenError),
     /// A name in the settings is no name.
     #[error(transparent)]
     #[diagnostic(help("correct the name in the settings"))]
@@ -53,10 +48,7 @@
     stop: impl Future<Output = ()> + Send + 'static,
 ) -> Result<(), ProgramError> {
     serve_metrics(settings.metrics).await?;
-    let address = settings.listen;
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|source| ProgramError::Listen { address, source })?;
+    let listener = bind(settings.listen).await?;
     let dispatch = start_control(&settings).await?;
     log::info!("event=started program=egret-entry name={}", settings.name);
     let keep = Duration::from_secs(settings.keep_s);
@@ -91,29 +83,24 @@
     let own = settings.listen.ip();
     let deadline = Duration::from_millis(settings.deadline_ms);
     let retry_percent = settings.retry_percent;
-    let thread = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.expect("the system allows a runtime");
-        LocalSet::new().block_on(&runtime, async move {
-            let client = Rc::new(ControlClient::new(own, addresses));
-            let (control, queue) = ControlHandle::new();
-            tokio::task::spawn_local(queue.serve(client.clone()));
-            let session = Session::new(client, holder);
-            let dispatch = Dispatch::new(DispatchParts {
-                own,
-                data_centre,
-                view: session.view.clone(),
-                lease: session.lease.clone(),
-                session: session.id(),
-                control,
-                deadline,
-                retry_percent,
-            });
-            let _ = sender.send(Arc::new(dispatch));
-            session.run().await;
+    spawn_local_thread("control", move || async move {
+        let client = Rc::new(ControlClient::new(own, addresses));
+        let (control, queue) = ControlHandle::new();
+        tokio::task::spawn_local(queue.serve(client.clone()));
+        let session = Session::new(client, holder);
+        let dispatch = Dispatch::new(DispatchParts {
+            own,
+            data_centre,
+            view: session.view.clone(),
+            lease: session.lease.clone(),
+            session: session.id(),
+            control,
+            deadline,
+            retry_percent,
         });
+        let _ = sender.send(Arc::new(dispatch));
+        session.run().await;
     });
-    thread.expect("the system allows a thread");
     Ok(started.await.expect("the control thread starts"))
 }
 
--- a/crates/egret_record/src/name.rs
+++ b/crates/egret_record/src/name.rs
@@ -8,33 +8,39 @@
 /// Longest name, in bytes.
 const NAME_BYTES: usize = 63;
 
-/// A text that is not a name.
+/// Longest key or operation id, in bytes.
+const KEY_BYTES: usize = 200;
+
+/// A text that cannot be an identity.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("{0:?} is not a name; use 1 to 63 lower-case letters, digits, dots and hyphens")]
-pub struct NameError(String);
+pub enum NameError {
+    /// It is not a name.
+    #[error("{0:?} is not a name; use 1 to 63 lower-case letters, digits, dots and hyphens")]
+    Name(String),
+    /// It is not a key.
+    #[error("{0:?} is not a key; use 1 to 200 visible ASCII characters")]
+    Key(String),
+}
 
-macro_rules! names {
-    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+/// Defines types around a checked text.
+macro_rules! texts {
+    ($check:ident; $($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(transparent)]
         pub struct $name(String);
 
         impl $name {
-            /// Checks and wraps a name.
+            /// Checks and wraps a text.
             ///
             /// # Errors
             ///
             /// Returns a [`NameError`] for an empty, long or odd text.
             pub fn new(text: &str) -> Result<Self, NameError> {
-                if is_name(text) {
-                    Ok(Self(text.to_owned()))
-                } else {
-                    Err(NameError(text.to_owned()))
-                }
+                $check(text).map(|()| Self(text.to_owned()))
             }
 
-            /// Returns the name as text.
+            /// Returns the text.
             #[must_use]
             pub fn as_str(&self) -> &str {
                 &self.0
@@ -66,7 +72,9 @@
     )*};
 }
 
-names! {
+texts! {
+    check_name;
+
     /// The name of a record.
     RecordName;
     /// The name of a data centre.
@@ -98,48 +106,24 @@
     }
 }
 
-/// Longest key or operation id, in bytes.
-const KEY_BYTES: usize = 200;
-
-macro_rules! keys {
-    ($($(#[$doc:meta])* $name:ident;)*) => {$(
-        $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(transparent)]
-        pub struct $name(String);
-
-        impl $name {
-            /// Checks and wraps a key of 1 to 200 visible ASCII characters.
-            #[must_use]
-            pub fn new(text: &str) -> Option<Self> {
-                let visible = text.bytes().all(|b| b.is_ascii_graphic());
-                (visible && (1..=KEY_BYTES).contains(&text.len())).then(|| Self(text.to_owned()))
-            }
-
-            /// Returns the key as text.
-            #[must_use]
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
+texts! {
+    check_key;
 
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
-            }
-        }
-    )*};
-}
-
-keys! {
     /// A caller's idempotency key, which names one request.
     IdempotencyKey;
     /// An operator's operation id, which names one amendment.
     OperationId;
 }
 
-fn is_name(text: &str) -> bool {
-    (1..=NAME_BYTES).contains(&text.len()) && text.bytes().all(is_name_byte)
+fn check_name(text: &str) -> Result<(), NameError> {
+    let fits = (1..=NAME_BYTES).contains(&text.len()) && text.bytes().all(is_name_byte);
+    if fits { Ok(()) } else { Err(NameError::Name(text.to_owned())) }
+}
+
+fn check_key(text: &str) -> Result<(), NameError> {
+    let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+    let fits = visible && (1..=KEY_BYTES).contains(&text.len());
+    if fits { Ok(()) } else { Err(NameError::Key(text.to_owned())) }
 }
 
 const fn is_name_byte(byte: u8) -> bool {
--- a/crates/egret_record/src/view.rs
+++ b/crates/egret_record/src/view.rs
@@ -1,10 +1,8 @@
 //! The shared view and the changes between its revisions.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::net::SocketAddr;
 
+use imbl::{OrdMap, OrdSet};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -166,18 +164,21 @@
 }
 
 /// What every entry and agent knows at a revision.
+///
+/// Copies share what is equal in them, so that a holder can keep one for its
+/// readers while it changes another.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct View {
     /// The revision.
     pub revision: Revision,
     /// The records.
-    pub records: BTreeMap<RecordName, StoredRecord>,
+    pub records: OrdMap<RecordName, StoredRecord>,
     /// The data centres that are out.
-    pub out: BTreeSet<DataCentre>,
+    pub out: OrdSet<DataCentre>,
     /// The backend servers.
-    pub backends: BTreeMap<BackendName, Backend>,
+    pub backends: OrdMap<BackendName, Backend>,
     /// The entries.
-    pub entries: BTreeMap<EntryName, Entry>,
+    pub entries: OrdMap<EntryName, Entry>,
 }
 
 /// A delta that does not follow the view's revision.
--- a/crates/egret_rpc/src/client.rs
+++ b/crates/egret_rpc/src/client.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    connection::Connection,
+    connection::Connections,
     request::{Reply, Request, decode, encode},
     schema::{self, control},
 };
@@ -25,8 +25,10 @@
 ///
 /// It leaves room within a lease to leave a frozen leader and poll the next one.
 const TRY_TIMEOUT: Duration = Duration::from_millis(800);
-/// Longest pause between two tries.
-const PAUSE_MAX: Duration = Duration::from_millis(100);
+/// Shortest pause after a try that found no leader.
+const PAUSE_MIN: Duration = Duration::from_millis(20);
+/// Longest pause after several of them; short beside a lease.
+const PAUSE_MAX: Duration = Duration::from_millis(320);
 /// Requests that wait for the control thread.
 const QUEUE_REQUESTS: usize = 4_096;
 
@@ -56,7 +58,8 @@
 
 /// A client of the control instances that follows the leader.
 pub struct ControlClient {
-    own: IpAddr,
+    /// Kept while they last, so that looking for the leader opens none anew.
+    connections: Connections<control::Client>,
     addresses: Vec<SocketAddr>,
     state: RefCell<State>,
 }
@@ -64,8 +67,8 @@
 #[derive(Default)]
 struct State {
     next: usize,
-    leader: Option<SocketAddr>,
-    connection: Option<(SocketAddr, Rc<Connection<control::Client>>)>,
+    /// The instance that was asked last, or that is said to lead.
+    current: Option<SocketAddr>,
 }
 
 impl std::fmt::Debug for ControlClient {
@@ -80,7 +83,11 @@
     pub fn new(own: IpAddr, addresses: Vec<SocketAddr>) -> Self {
         // Different processes begin with different instances.
         let next = rand::rng().random_range(0..addresses.len().max(1));
-        Self { own, addresses, state: RefCell::new(State { next, ..State::default() }) }
+        Self {
+            connections: Connections::new(own),
+            addresses,
+            state: RefCell::new(State { next, ..State::default() }),
+        }
     }
 
     /// Sends a request until it is replied to or `deadline` has passed.
@@ -166,52 +173,49 @@
         deadline: Instant,
         attempt: impl AsyncFn(control::Client) -> capnp::Result<Attempt<T>>,
     ) -> Result<T, CallError> {
+        let mut pause = PAUSE_MIN;
         loop {
             let until = deadline.min(Instant::now() + TRY_TIMEOUT);
+            let address = self.current();
             let tried = timeout_at(until, async {
-                let client = self.connect().await?;
-                attempt(client).await
+                let connection = self.connections.get(address).await?;
+                attempt(connection.client()).await
             });
             match tried.await {
                 Ok(Ok(Attempt::Done(value))) => return Ok(value),
-                Ok(Ok(Attempt::NotLeader(leader))) => self.leave(leader),
-                Ok(Ok(Attempt::Failed) | Err(_)) | Err(_) => self.leave(None),
+                Ok(Ok(Attempt::NotLeader(leader))) => {
+                    self.state.borrow_mut().current = leader.filter(|leader| *leader != address);
+                }
+                Ok(Ok(Attempt::Failed) | Err(_)) | Err(_) => self.give_up(address),
             }
             if Instant::now() >= deadline {
                 return Err(CallError::Unreachable);
             }
-            sleep(rand::rng().random_range(PAUSE_MAX / 10..PAUSE_MAX)).await;
+            sleep(rand::rng().random_range(pause / 2..pause)).await;
+            pause = PAUSE_MAX.min(pause * 2);
         }
     }
 
-    async fn connect(&self) -> capnp::Result<control::Client> {
-        let address = {
-            let mut state = self.state.borrow_mut();
-            if let Some((_, connection)) = state.connection.as_ref().filter(|(_, c)| !c.is_closed())
-            {
-                return Ok(connection.client());
-            }
-            match state.leader.take() {
-                Some(leader) => leader,
-                None => {
-                    state.next = (state.next + 1) % self.addresses.len();
-                    self.addresses[state.next]
-                }
+    /// Returns the instance to ask: the leader if it is known, or the next one.
+    fn current(&self) -> SocketAddr {
+        let mut state = self.state.borrow_mut();
+        let next = (state.next + 1) % self.addresses.len();
+        match state.current {
+            Some(current) => current,
+            None => {
+                state.next = next;
+                state.current = Some(self.addresses[next]);
+                self.addresses[next]
             }
-        };
-        let connection = Rc::new(Connection::open(self.own, address).await?);
-        let client = connection.client();
-        self.state.borrow_mut().connection = Some((address, connection));
-        Ok(client)
+        }
     }
 
-    /// Leaves the present connection, for the leader if it is known.
-    fn leave(&self, leader: Option<SocketAddr>) {
+    /// Closes the connection to an instance that did not answer, and asks the next one.
+    fn give_up(&self, address: SocketAddr) {
+        self.connections.remove(address);
         let mut state = self.state.borrow_mut();
-        let there = state.connection.as_ref().map(|(address, _)| *address);
-        if leader.is_none() || there != leader {
-            state.connection = None;
-            state.leader = leader;
+        if state.current == Some(address) {
+            state.current = None;
         }
     }
 }
--- a/crates/egret_rpc/src/connection.rs
+++ b/crates/egret_rpc/src/connection.rs
@@ -1,16 +1,20 @@
 //! Connections and listeners.
 
 use std::{
+    cell::RefCell,
     io,
     net::{IpAddr, SocketAddr},
+    rc::Rc,
     time::Duration,
 };
 
 use capnp::capability::FromClientHook;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use egret_record::FastMap;
 use futures::AsyncReadExt as _;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
+    sync::OnceCell,
     task::JoinHandle,
     time::timeout,
 };
@@ -74,6 +78,55 @@
     }
 }
 
+/// Connections by address, one for each however many ask at once.
+pub struct Connections<C> {
+    own: IpAddr,
+    open: RefCell<FastMap<SocketAddr, Slot<C>>>,
+}
+
+/// The place of one connection, which whoever comes first opens.
+type Slot<C> = Rc<OnceCell<Rc<Connection<C>>>>;
+
+impl<C> std::fmt::Debug for Connections<C> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Connections").field("own", &self.own).finish_non_exhaustive()
+    }
+}
+
+impl<C: FromClientHook + Clone> Connections<C> {
+    /// Connects from an address of this instance.
+    #[must_use]
+    pub fn new(own: IpAddr) -> Self {
+        Self { own, open: RefCell::default() }
+    }
+
+    /// Returns the connection to an address; must be called within a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when nobody listens or answers in time.
+    pub async fn get(&self, address: SocketAddr) -> io::Result<Rc<Connection<C>>> {
+        let slot = self.slot(address);
+        let opened = slot
+            .get_or_try_init(async || Connection::open(self.own, address).await.map(Rc::new))
+            .await;
+        opened.cloned()
+    }
+
+    /// Forgets the connection to an address; it closes when nobody uses it.
+    pub fn remove(&self, address: SocketAddr) {
+        self.open.borrow_mut().remove(&address);
+    }
+
+    fn slot(&self, address: SocketAddr) -> Slot<C> {
+        let mut open = self.open.borrow_mut();
+        if open.get(&address).and_then(|slot| slot.get()).is_some_and(|known| known.is_closed()) {
+            open.remove(&address);
+        }
+        open.entry(address).or_default().clone()
+    }
+}
+
 /// Serves an interface to every process that connects, until dropped.
 ///
 /// Must be awaited within a `LocalSet`.
--- a/crates/egret_rpc/src/lib.rs
+++ b/crates/egret_rpc/src/lib.rs
@@ -17,7 +17,7 @@
 mod session;
 
 pub use client::{CallError, ControlClient, ControlHandle, ControlQueue};
-pub use connection::{Connection, listen};
+pub use connection::{Connection, Connections, listen};
 pub use convert::{read_envelope, read_member, write_envelope, write_member};
 pub use egret_schema::egret_capnp as schema;
 pub use request::{
--- a/crates/egret_schema/src/egret_capnp.rs
+++ b/crates/egret_schema/src/egret_capnp.rs
@@ -7963,6 +7963,10 @@
         ::capnp::capability::Params<crate::egret_capnp::peer::chunk_params::Owned>;
     pub type ChunkResults =
         ::capnp::capability::Results<crate::egret_capnp::peer::chunk_results::Owned>;
+    pub type ManifestParams =
+        ::capnp::capability::Params<crate::egret_capnp::peer::manifest_params::Owned>;
+    pub type ManifestResults =
+        ::capnp::capability::Results<crate::egret_capnp::peer::manifest_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -8054,6 +8058,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
+        pub fn manifest_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::egret_capnp::peer::manifest_params::Owned,
+            crate::egret_capnp::peer::manifest_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn held(
@@ -8074,6 +8086,15 @@
                 "method peer::Server::chunk not implemented".to_string(),
             )))
         }
+        fn manifest(
+            self: ::capnp::capability::Rc<Self>,
+            _: ManifestParams,
+            _: ManifestResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::manifest not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -8143,6 +8164,14 @@
                     )),
                     false,
                 ),
+                2 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::manifest(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -9190,6 +9219,10 @@
             pub fn has_content(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_progress(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
         }
 
         pub struct Builder<'a> {
@@ -9300,6 +9333,14 @@
             pub fn has_content(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_progress(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_progress(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(1, value);
+            }
         }
 
         pub struct Pipeline {
@@ -9312,7 +9353,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(22, 247, 248, 137, 6, 64, 94, 157),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
@@ -9322,28 +9363,35 @@
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 99, 104, 117, 110, 107, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 111, 117, 110, 100, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9360,11 +9408,21 @@
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 114, 111, 103, 114, 101, 115, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9383,10 +9441,622 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
             pub(crate) const TYPE_ID: u64 = 0x9d5e_4006_89f8_f716;
         }
     }
+
+    pub mod manifest_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_version(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_version(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_version(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_version(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_version(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(127, 192, 139, 61, 82, 132, 12, 154),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 109, 97, 110, 105, 102, 101, 115),
+                ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9a0c_8452_3d8b_c07f;
+        }
+    }
+
+    pub mod manifest_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_found(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_content(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_content(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_found(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_found(&mut self, value: bool) {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_content(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_content(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_content(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_content(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(159, 218, 234, 107, 104, 135, 57, 178),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 109, 97, 110, 105, 102, 101, 115),
+                ::capnp::word(116, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 111, 117, 110, 100, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xb239_8768_6bea_da9f;
+        }
+    }
 }
--- a/crates/egret_standin/src/origin.rs
+++ b/crates/egret_standin/src/origin.rs
@@ -6,11 +6,11 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use bytes::Bytes;
-use egret_record::VersionDigest;
+use egret_record::{FastMap, VersionDigest};
 use http::{
     HeaderValue, StatusCode,
     header::{ACCEPT_RANGES, CONTENT_RANGE, ETAG},
@@ -29,13 +29,22 @@
     rate: Option<u64>,
     free_at: Arc<Mutex<Option<Instant>>>,
     sent: Arc<AtomicU64>,
+    files: Arc<Mutex<FastMap<PathBuf, Cached>>>,
+}
+
+/// A file as it was when it was read last.
+#[derive(Debug, Clone)]
+struct Cached {
+    modified: SystemTime,
+    content: Bytes,
+    tag: String,
 }
 
 impl Origin {
     /// Serves the files below `folder` over a link of `rate` bytes a second.
     #[must_use]
     pub fn new(folder: PathBuf, rate: Option<u64>) -> Self {
-        Self { folder, rate, free_at: Arc::default(), sent: Arc::default() }
+        Self { folder, rate, free_at: Arc::default(), sent: Arc::default(), files: Arc::default() }
     }
 
     /// Returns the HTTP interface.
@@ -56,10 +65,9 @@
         if path.split('/').any(|part| part == "..") {
             return Ok(respond::full(StatusCode::NOT_FOUND, "text/plain", "no such file"));
         }
-        let Ok(content) = tokio::fs::read(self.folder.join(path)).await else {
+        let Some(Cached { content, tag, .. }) = self.file(&path).await else {
             return Ok(respond::full(StatusCode::NOT_FOUND, "text/plain", "no such file"));
         };
-        let tag = format!("\"{}\"", VersionDigest::of(&content).short());
         let wanted: Option<String> = req.header("if-match");
         if wanted.is_some_and(|wanted| wanted != tag) {
             let text = "the file has changed";
@@ -73,7 +81,7 @@
         };
         self.pay(end - start).await;
         let total = content.len();
-        let body = Bytes::from(content).slice(start..end);
+        let body = content.slice(start..end);
         let mut response = respond::full(status, "application/octet-stream", body);
         let headers = response.headers_mut();
         headers.insert(ETAG, HeaderValue::from_str(&tag).expect("tags are ASCII"));
@@ -85,6 +93,21 @@
         Ok(response)
     }
 
+    /// Reads a file, unless it is as it was when it was read last.
+    async fn file(&self, path: &str) -> Option<Cached> {
+        let path = self.folder.join(path);
+        let modified = tokio::fs::metadata(&path).await.ok()?.modified().ok()?;
+        let known = self.files.lock().expect("no holder of the lock panics").get(&path).cloned();
+        if let Some(known) = known.filter(|known| known.modified == modified) {
+            return Some(known);
+        }
+        let content = Bytes::from(tokio::fs::read(&path).await.ok()?);
+        let tag = format!("\"{}\"", VersionDigest::of(&content).short());
+        let cached = Cached { modified, content, tag };
+        self.files.lock().expect("no holder of the lock panics").insert(path, cached.clone());
+        Some(cached)
+    }
+
     /// Waits until the link has carried `bytes`.
     async fn pay(&self, bytes: usize) {
         self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
--- a/crates/egret_telemetry/src/program.rs
+++ b/crates/egret_telemetry/src/program.rs
@@ -86,18 +86,21 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The YAML file with the settings"),
         )
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Checks the settings and ends"),
-        )
-        .arg(
-            Arg::new("log-level")
-                .long("log-level")
-                .default_value("info")
-                .help("One of error, warn, info, debug, trace"),
-        )
+        .args(common_args("info"))
+}
+
+/// Returns the arguments `--check` and `--log-level`, which all programs have.
+#[must_use]
+pub fn common_args(level: &'static str) -> [Arg; 2] {
+    let check = Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .help("Checks the settings and ends");
+    let level = Arg::new("log-level")
+        .long("log-level")
+        .default_value(level)
+        .help("One of error, warn, info, debug, trace");
+    [check, level]
 }
 
 fn fail(error: &miette::Report, code: u8) -> ExitCode {
--- a/crates/egret_weights/src/tree.rs
+++ b/crates/egret_weights/src/tree.rs
@@ -1,17 +1,21 @@
 //! Who fetches which chunk from whom.
 //!
-//! For each chunk the holders of a version are ranked by a hash of chunk and
-//! holder (rendezvous hashing), so that all agree without talking and each
-//! holder stands near the root for some chunks and at the leaves for others:
-//! everybody uploads about as much as it downloads. The first of all fetches
-//! from the origin; the first of each other data centre fetches from it; the
-//! rest fetch along a binary tree inside their data centre.
+//! Chunks take turns over a fixed number of trees, so that a holder talks to
+//! few others however many there are. In each tree the holders of a data centre
+//! stand in the same order, turned a step further, so everybody is an inner
+//! node in half of the trees and a leaf in the others, and uploads about as
+//! much as it downloads. All agents agree on the trees without talking. The
+//! root of one data centre fetches from the origin, the roots of the others
+//! from it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use egret_record::{BackendName, DataCentre, VersionDigest};
+use egret_record::{BackendName, DataCentre};
 
-/// Children of a holder in the tree of one chunk.
+/// Trees over which chunks take turns, and so the parents of a holder at the most.
+const TREES: usize = 16;
+/// Children of a holder in one tree.
 const CHILDREN: usize = 2;
 
 /// A backend server that holds or wants a version.
@@ -39,28 +43,64 @@
 /// Each next source is nearer to the root, so that a chunk still comes when
 /// any holder on the way is dead or slow.
 #[must_use]
-pub fn parents(chunk: VersionDigest, own: &BackendName, holders: &[Holder]) -> Vec<Parent> {
-    let mut ranked: Vec<_> =
-        holders.iter().map(|holder| (rank(chunk, &holder.name), holder)).collect();
-    ranked.sort_unstable_by_key(|(rank, _)| *rank);
-    let Some((_, me)) = ranked.iter().find(|(_, holder)| holder.name == *own) else {
+pub fn parents(index: u32, own: &BackendName, holders: &[Holder]) -> Vec<Parent> {
+    let mut centres: BTreeMap<&DataCentre, Vec<&Holder>> = BTreeMap::new();
+    for holder in holders {
+        centres.entry(&holder.data_centre).or_default().push(holder);
+    }
+    let Some(centre) = holders.iter().find(|holder| holder.name == *own) else {
         return vec![Parent::Origin];
     };
-    let here = ranked.iter().filter(|(_, holder)| holder.data_centre == me.data_centre);
-    let near: Vec<_> = here.map(|(_, holder)| *holder).collect();
-    let mut at = near.iter().position(|holder| holder.name == *own).unwrap_or(0);
+    let tree = index as usize % TREES;
+    let mut sources = above(tree, own, &mut centres, &centre.data_centre);
+    let first = centres.keys().nth(tree % centres.len()).copied().cloned();
+    if let Some(first) = first.filter(|first| *first != centre.data_centre) {
+        sources.extend(root(tree, &mut centres, &first));
+    }
+    sources.push(Parent::Origin);
+    sources
+}
+
+/// Returns the holders on the way from `own` to the root of its data centre.
+fn above(
+    tree: usize,
+    own: &BackendName,
+    centres: &mut BTreeMap<&DataCentre, Vec<&Holder>>,
+    centre: &DataCentre,
+) -> Vec<Parent> {
+    let near = ordered(centres, centre);
+    let turn = tree * near.len() / TREES;
+    let place = near.iter().position(|holder| holder.name == *own).unwrap_or(0);
+    let mut at = (place + near.len() - turn) % near.len();
     let mut sources = Vec::new();
     while at > 0 {
         at = (at - 1) / CHILDREN;
-        sources.push(agent(near[at]));
-    }
-    if let Some((_, root)) = ranked.first().filter(|(_, root)| root.data_centre != me.data_centre) {
-        sources.push(agent(root));
+        sources.push(agent(near[(at + turn) % near.len()]));
     }
-    sources.push(Parent::Origin);
     sources
 }
 
+/// Returns the root of a data centre.
+fn root(
+    tree: usize,
+    centres: &mut BTreeMap<&DataCentre, Vec<&Holder>>,
+    centre: &DataCentre,
+) -> Option<Parent> {
+    let near = ordered(centres, centre);
+    let turn = tree * near.len() / TREES;
+    near.get(turn).map(|holder| agent(holder))
+}
+
+/// Returns the holders of a data centre in the order that all agree on.
+fn ordered<'a, 'h>(
+    centres: &'a mut BTreeMap<&DataCentre, Vec<&'h Holder>>,
+    centre: &DataCentre,
+) -> &'a [&'h Holder] {
+    let Some(near) = centres.get_mut(centre) else { return &[] };
+    near.sort_unstable_by_key(|holder| &holder.name);
+    near
+}
+
 /// Returns the sources of any chunk for `own` along one chain of all holders.
 #[must_use]
 pub fn chain_parents(own: &BackendName, holders: &[Holder]) -> Vec<Parent> {
@@ -74,10 +114,3 @@
 fn agent(holder: &Holder) -> Parent {
     Parent::Agent(holder.name.clone(), holder.address)
 }
-
-fn rank(chunk: VersionDigest, name: &BackendName) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&chunk.0);
-    hasher.update(name.as_str().as_bytes());
-    hasher.finalize().as_bytes()[..8].iter().fold(0, |rank, byte| rank << 8 | u64::from(*byte))
-}
--- a/crates/egret_weights/tests/weights.rs
+++ b/crates/egret_weights/tests/weights.rs
@@ -114,10 +114,9 @@
         holders.iter().map(|holder| (holder.name.clone(), holder.data_centre.clone())).collect();
     let mut uploads: BTreeMap<BackendName, usize> = BTreeMap::new();
     for number in 0..400_u32 {
-        let chunk = VersionDigest::of(&number.to_le_bytes());
         let (mut origin, mut crossing) = (0, 0);
         for holder in &holders {
-            match &parents(chunk, &holder.name, &holders)[0] {
+            match &parents(number, &holder.name, &holders)[0] {
                 Parent::Origin => origin += 1,
                 Parent::Agent(name, _) => {
                     *uploads.entry(name.clone()).or_default() += 1;
@@ -136,21 +135,39 @@
     assert!(most < 520, "the busiest uploads {most} chunks for 400 downloaded");
 }
 
+#[test]
+fn holder_talks_to_few_others_however_many_there_are() {
+    /// Parents and children in sixteen trees, and the roots across data centres.
+    const TALKS_MAX: usize = 16 + 32 + 16;
+    let holders = holders(600, 3);
+    let mut talks: BTreeMap<BackendName, BTreeSet<BackendName>> = BTreeMap::new();
+    // Twice as many chunks as trees.
+    for index in 0..32 {
+        for holder in &holders {
+            if let Parent::Agent(name, _) = &parents(index, &holder.name, &holders)[0] {
+                talks.entry(name.clone()).or_default().insert(holder.name.clone());
+                talks.entry(holder.name.clone()).or_default().insert(name.clone());
+            }
+        }
+    }
+    let most = talks.values().map(BTreeSet::len).max().unwrap_or(0);
+    assert!(most <= TALKS_MAX, "one holder talks to {most} others");
+}
+
 proptest! {
     #[test]
     fn every_way_ends_at_the_origin_without_a_circle(count in 1_usize..40, centres in 1_usize..4, number: u32) {
         let holders = holders(count, centres);
-        let chunk = VersionDigest::of(&number.to_le_bytes());
         for holder in &holders {
             let mut at = holder.name.clone();
             let mut steps = 0;
-            while let Parent::Agent(name, _) = parents(chunk, &at, &holders)[0].clone() {
+            while let Parent::Agent(name, _) = parents(number, &at, &holders)[0].clone() {
                 prop_assert_ne!(&name, &at);
                 at = name;
                 steps += 1;
                 prop_assert!(steps <= 8);
             }
-            let sources = parents(chunk, &holder.name, &holders);
+            let sources = parents(number, &holder.name, &holders);
             prop_assert_eq!(sources.last(), Some(&Parent::Origin));
         }
     }
--- a/crates/egretctl/src/command.rs
+++ b/crates/egretctl/src/command.rs
@@ -42,18 +42,7 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The YAML file with `entries` and `admin_key`"),
         )
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Checks the settings and ends"),
-        )
-        .arg(
-            Arg::new("log-level")
-                .long("log-level")
-                .default_value("warn")
-                .help("One of error, warn, info, debug, trace"),
-        )
+        .args(egret_telemetry::program::common_args("warn"))
         .arg(
             Arg::new("entry")
                 .long("entry")
--- a/tools/generate-schema.sh
+++ b/tools/generate-schema.sh
@@ -6,3 +6,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/../crates/egret_schema"
 capnp compile --src-prefix=schema --output=rust:src schema/egret.capnp
+cargo fmt -p egret_schema
