--- a/crates/egret_bench/tests/control.rs
+++ b/crates/egret_bench/tests/control.rs
@@ -17,7 +17,7 @@
 const PARALLEL: usize = 6;
 
 fn play(options: Options) -> Findings {
-    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let runtime = tokio::runtime::Runtime::new().expect("the step succeeds");
     runtime.block_on(run(options)).unwrap_or_else(|error| panic!("seed {}: {error}", options.seed))
 }
 
--- a/crates/egret_bench/tests/promises.rs
+++ b/crates/egret_bench/tests/promises.rs
@@ -20,8 +20,8 @@
 const LIMIT: Duration = Duration::from_secs(30);
 
 async fn deployment(plan: &Plan) -> Deployment {
-    let deployment = Deployment::start(plan).unwrap();
-    wait_announced(&deployment, plan).await.unwrap();
+    let deployment = Deployment::start(plan).expect("the step succeeds");
+    wait_announced(&deployment, plan).await.expect("the step succeeds");
     deployment
 }
 
@@ -41,14 +41,15 @@
         ..Plan::default()
     };
     let deployment = deployment(&plan).await;
-    let (digest, origin) = deployment.publish("drafts", "v1", &[7; 100_000], 16_384).unwrap();
+    let (digest, origin) =
+        deployment.publish("drafts", "v1", &[7; 100_000], 16_384).expect("the step succeeds");
     let record = format!(
         "schema: 1\nname: drafting\nmodel: drafts\nversion: v1\ndigest: {digest}\n\
          origin: {origin}\nreplicas: 1\n"
     );
-    let path = deployment.write("record.yaml", &record).unwrap();
-    deployment.ctl(&["apply", &path]).await.unwrap();
-    deployment.ctl(&["rollout", "drafting", "--timeout-s", "30"]).await.unwrap();
+    let path = deployment.write("record.yaml", &record).expect("the step succeeds");
+    deployment.ctl(&["apply", &path]).await.expect("the step succeeds");
+    deployment.ctl(&["rollout", "drafting", "--timeout-s", "30"]).await.expect("the step succeeds");
     (deployment, digest)
 }
 
@@ -61,7 +62,9 @@
     let body = json!({ "model": "drafts", "stream": stream, "messages": [{ "content": "oak" }] });
     let path = "/v1/chat/completions";
     let sent = [("content-type", "application/json")];
-    ask(&client, Method::POST, entry, path, &sent, body.to_string(), LIMIT).await.unwrap()
+    ask(&client, Method::POST, entry, path, &sent, body.to_string(), LIMIT)
+        .await
+        .expect("the step succeeds")
 }
 
 async fn fault(deployment: &Deployment, kind: &str) {
@@ -69,7 +72,9 @@
     let client = HttpClient::fresh(None);
     let sent = [("content-type", "application/json")];
     let body = json!(kind).to_string();
-    ask(&client, Method::POST, engine, "/fault", &sent, body, LIMIT).await.unwrap();
+    ask(&client, Method::POST, engine, "/fault", &sent, body, LIMIT)
+        .await
+        .expect("the step succeeds");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/egret_bench/tests/repair.rs
+++ b/crates/egret_bench/tests/repair.rs
@@ -27,18 +27,21 @@
 }
 
 async fn repair(deployment: &mut Deployment, name: &str) {
-    let status = deployment.wait_for(LIMIT, |status| members(status).len() == 5).await.unwrap();
+    let status = deployment
+        .wait_for(LIMIT, |status| members(status).len() == 5)
+        .await
+        .expect("the step succeeds");
     let old = identity(&status, name);
     deployment.kill(name);
-    deployment.lose_data(name).unwrap();
-    deployment.restart(name).unwrap();
+    deployment.lose_data(name).expect("the step succeeds");
+    deployment.restart(name).expect("the step succeeds");
     let waits = |status: &Value| {
         let waiting = status["control"]["waiting"].as_array();
         waiting.is_some_and(|all| all.iter().any(|one| one["name"] == name))
     };
     deployment.wait_for(LIMIT, waits).await.expect("the new instance asks to be added");
-    deployment.ctl(&["member", "remove", &old]).await.unwrap();
-    deployment.ctl(&["member", "add", name]).await.unwrap();
+    deployment.ctl(&["member", "remove", &old]).await.expect("the step succeeds");
+    deployment.ctl(&["member", "add", name]).await.expect("the step succeeds");
     let votes = |status: &Value| {
         members(status).iter().any(|one| {
             one["name"] == name && one["voter"] == true && one["identity"] != old.as_str()
--- a/crates/egret_bench/tests/restart.rs
+++ b/crates/egret_bench/tests/restart.rs
@@ -18,10 +18,10 @@
 
 async fn change(client: &ControlClient, number: u32) -> Revision {
     let command = Command::Amend {
-        id: OperationId::new(&format!("change-{number}")).unwrap(),
+        id: OperationId::new(&format!("change-{number}")).expect("the step succeeds"),
         expected: None,
         operation: Operation::SetDataCentre {
-            name: DataCentre::new("elsewhere").unwrap(),
+            name: DataCentre::new("elsewhere").expect("the step succeeds"),
             out: number.is_multiple_of(2),
         },
     };
