--- a/crates/egret_agent/src/lib.rs
+++ b/crates/egret_agent/src/lib.rs
@@ -4,13 +4,13 @@
 //! passes on weights, and orders the engine. It acts on the control state's view
 //! only while its lease on it lasts.
 //!
-//! - [`admission`]: which requests may pass.
-//! - [`traffic`]: requests from entries to the backend server.
-//! - [`engine`]: the protocol of the backend server.
-//! - [`rollout`]: from an order to a live version.
-//! - [`fetch`]: chunks from agents and origin.
-//! - [`peer_server`]: chunks for other agents.
-//! - [`shared`]: what the threads share.
+//! - `admission`: which requests may pass.
+//! - `traffic`: requests from entries to the backend server.
+//! - `engine`: the protocol of the backend server.
+//! - `rollout`: from an order to a live version.
+//! - `fetch`: chunks from agents and origin.
+//! - `peer_server`: chunks for other agents.
+//! - `shared`: what the threads share.
 
 mod admission;
 mod engine;
--- a/crates/egret_bench/src/lib.rs
+++ b/crates/egret_bench/src/lib.rs
@@ -1,17 +1,17 @@
 //! Load and experiments over the stand-ins; never deployed.
 //!
-//! - [`deployment`]: the programs as processes of this machine.
-//! - [`caller`]: callers that check every answer.
-//! - [`network`]: links between instances that can be delayed and cut.
-//! - [`history`]: what operators and holders saw, and whether it may be.
-//! - [`control`]: the control state under failure.
-//! - [`control_bench`]: the measures of the control state.
-//! - [`scale`]: slopes of cost against size.
-//! - [`weights_bench`]: weights in a burst.
-//! - [`claims_bench`]: calls that run at most once.
-//! - [`cuts`]: the service that is lost while links are cut.
-//! - [`traffic_bench`]: what requests and tokens cost.
-//! - [`demo`]: the whole path once, with a data centre out and back.
+//! - `deployment`: the programs as processes of this machine.
+//! - `caller`: callers that check every answer.
+//! - `network`: links between instances that can be delayed and cut.
+//! - `history`: what operators and holders saw, and whether it may be.
+//! - `control`: the control state under failure.
+//! - `control_bench`: the measures of the control state.
+//! - `scale`: slopes of cost against size.
+//! - `weights_bench`: weights in a burst.
+//! - `claims_bench`: calls that run at most once.
+//! - `cuts`: the service that is lost while links are cut.
+//! - `traffic_bench`: what requests and tokens cost.
+//! - `demo`: the whole path once, with a data centre out and back.
 
 pub mod caller;
 mod child;
--- a/crates/egret_consensus/src/lib.rs
+++ b/crates/egret_consensus/src/lib.rs
@@ -5,10 +5,10 @@
 //! proposals and the passing of time, and hands out a [`Ready`]: what must be
 //! on disk first, what may be sent after, and what is committed.
 //!
-//! - [`types`]: terms, log entries, membership and snapshots.
-//! - [`message`]: what members say to each other.
-//! - [`log`]: the log after the last snapshot.
-//! - [`node`]: one member.
+//! - `types`: terms, log entries, membership and snapshots.
+//! - `message`: what members say to each other.
+//! - `log`: the log after the last snapshot.
+//! - `node`: one member.
 //!
 //! ```
 //! use std::time::Duration;
--- a/crates/egret_control/src/lib.rs
+++ b/crates/egret_control/src/lib.rs
@@ -4,15 +4,15 @@
 //! may run at most once are claimed. All of that is one deterministic
 //! [`State`], replicated by `egret_consensus` and kept by `egret_store`.
 //!
-//! - [`state`]: the state and its snapshot.
-//! - [`commands`]: what changes it.
-//! - [`queries`]: what reads it.
-//! - [`claims`]: requests that may run at most once.
-//! - [`rollout`]: which backend server shall run what.
-//! - [`holders`]: leases of entries and agents, known to the leader alone.
-//! - [`bootstrap`]: the first membership, and joining an existing one.
-//! - [`driver`]: the loop around node, disk and state.
-//! - [`server`]: the interface to other processes.
+//! - `state`: the state and its snapshot.
+//! - `commands`: what changes it.
+//! - `queries`: what reads it.
+//! - `claims`: requests that may run at most once.
+//! - `rollout`: which backend server shall run what.
+//! - `holders`: leases of entries and agents, known to the leader alone.
+//! - `bootstrap`: the first membership, and joining an existing one.
+//! - `driver`: the loop around node, disk and state.
+//! - `server`: the interface to other processes.
 
 mod bootstrap;
 mod claims;
--- a/crates/egret_entry/src/lib.rs
+++ b/crates/egret_entry/src/lib.rs
@@ -4,13 +4,13 @@
 //! backend servers, tries again what did not run, and claims what may run at
 //! most once. Operators reach the control state through it.
 //!
-//! - [`caller_api`]: the HTTP interface for callers.
-//! - [`admin_api`]: the HTTP interface for operators.
-//! - [`call`]: what a caller's request asks for.
-//! - [`dispatch`]: from a request to its answer.
-//! - [`claim`]: requests that may run at most once.
-//! - [`forward`]: one try at one backend server.
-//! - [`burn`]: service by organisation and kind.
+//! - `caller_api`: the HTTP interface for callers.
+//! - `admin_api`: the HTTP interface for operators.
+//! - `call`: what a caller's request asks for.
+//! - `dispatch`: from a request to its answer.
+//! - `claim`: requests that may run at most once.
+//! - `forward`: one try at one backend server.
+//! - `burn`: service by organisation and kind.
 
 mod admin_api;
 mod burn;
--- a/crates/egret_http/src/lib.rs
+++ b/crates/egret_http/src/lib.rs
@@ -1,9 +1,9 @@
 //! HTTP between the system, its callers and its backend servers.
 //!
-//! - [`client`]: requests to other processes, with what is known of a failure.
-//! - [`headers`]: the names of headers.
-//! - [`listener`]: listeners whose connections send small pieces at once.
-//! - [`respond`]: answers and refusals.
+//! - `client`: requests to other processes, with what is known of a failure.
+//! - `headers`: the names of headers.
+//! - `listener`: listeners whose connections send small pieces at once.
+//! - `respond`: answers and refusals.
 
 mod client;
 pub mod headers;
--- a/crates/egret_record/src/lib.rs
+++ b/crates/egret_record/src/lib.rs
@@ -4,11 +4,11 @@
 //! of a record, checks them, and defines the shared [`View`]: what every entry
 //! and agent knows of records, data centres and backend servers at a revision.
 //!
-//! - [`name`]: identities, as distinct types.
-//! - [`digest`]: digests that name content.
-//! - [`record`]: a record in its normal form, whatever its schema.
-//! - [`schema`]: the two schemas that operators write.
-//! - [`view`]: the shared view and the changes between its revisions.
+//! - `name`: identities, as distinct types.
+//! - `digest`: digests that name content.
+//! - `record`: a record in its normal form, whatever its schema.
+//! - `schema`: the two schemas that operators write.
+//! - `view`: the shared view and the changes between its revisions.
 //!
 //! ```
 //! let text = "
--- a/crates/egret_route/src/lib.rs
+++ b/crates/egret_route/src/lib.rs
@@ -1,10 +1,10 @@
 //! Limits, choices and retries of requests.
 //!
-//! - [`refusal`]: final answers to requests that are given up on.
-//! - [`gate`]: the bound before one backend server.
-//! - [`choice`]: which backend server gets a request.
-//! - [`budget`]: how many requests may be tried again.
-//! - [`addresses`]: which entries a caller should use.
+//! - `refusal`: final answers to requests that are given up on.
+//! - `gate`: the bound before one backend server.
+//! - `choice`: which backend server gets a request.
+//! - `budget`: how many requests may be tried again.
+//! - `addresses`: which entries a caller should use.
 
 mod addresses;
 mod budget;
--- a/crates/egret_rpc/src/lib.rs
+++ b/crates/egret_rpc/src/lib.rs
@@ -4,11 +4,11 @@
 //! the border. It converts them to the types that decisions are made on, keeps
 //! connections, follows the leader, and holds the session of an entry or agent.
 //!
-//! - [`request`]: what the control state is asked, and what it replies.
-//! - [`convert`]: conversions of the replicated log's messages.
-//! - [`connection`]: connections and listeners.
-//! - [`client`]: requests to whichever control instance leads.
-//! - [`session`]: the session of an entry or agent, with its lease and view.
+//! - `request`: what the control state is asked, and what it replies.
+//! - `convert`: conversions of the replicated log's messages.
+//! - `connection`: connections and listeners.
+//! - `client`: requests to whichever control instance leads.
+//! - `session`: the session of an entry or agent, with its lease and view.
 
 mod client;
 mod connection;
--- a/crates/egret_settings/src/lib.rs
+++ b/crates/egret_settings/src/lib.rs
@@ -4,8 +4,8 @@
 //! so a file is read, decoded and checked before anything else happens, and
 //! each fault names the file, the line and the remedy.
 //!
-//! - [`document`]: decodes one YAML document and renders its faults.
-//! - [`programs`]: the settings of each program.
+//! - `document`: decodes one YAML document and renders its faults.
+//! - `programs`: the settings of each program.
 //!
 //! ```
 //! use egret_settings::{EntrySettings, Settings, parse};
--- a/crates/egret_standin/src/lib.rs
+++ b/crates/egret_standin/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! Each is spoken to only by its HTTP protocol, as the real system would be.
 //!
-//! - [`engine`]: a model engine.
-//! - [`service`]: a plain service, some of whose calls may not be repeated.
-//! - [`origin`]: an origin of weights.
+//! - `engine`: a model engine.
+//! - `service`: a plain service, some of whose calls may not be repeated.
+//! - `origin`: an origin of weights.
 
 pub mod engine;
 pub mod origin;
--- a/crates/egret_store/src/lib.rs
+++ b/crates/egret_store/src/lib.rs
@@ -5,9 +5,9 @@
 //! before the call returns; a torn last frame is cut, a damaged earlier one is
 //! refused, since cutting it would forget promises.
 //!
-//! - [`folder`]: the data folder, its lock and the identity bound to it.
-//! - [`frame`]: checksummed frames.
-//! - [`journal`]: snapshot and log of a member.
+//! - `folder`: the data folder, its lock and the identity bound to it.
+//! - `frame`: checksummed frames.
+//! - `journal`: snapshot and log of a member.
 
 mod folder;
 mod frame;
--- a/crates/egret_telemetry/src/lib.rs
+++ b/crates/egret_telemetry/src/lib.rs
@@ -1,10 +1,10 @@
 //! Logs and metrics of the programs.
 //!
-//! - [`listen`]: taking an address to listen on.
-//! - [`thread`]: threads with a runtime of their own.
-//! - [`logs`]: one line of key=value pairs for each event.
-//! - [`metrics_server`]: metrics as Prometheus text over HTTP.
-//! - [`program`]: the frame that all programs share.
+//! - `listen`: taking an address to listen on.
+//! - `thread`: threads with a runtime of their own.
+//! - `logs`: one line of key=value pairs for each event.
+//! - `metrics_server`: metrics as Prometheus text over HTTP.
+//! - `program`: the frame that all programs share.
 
 mod listen;
 mod logs;
--- a/crates/egret_weights/src/lib.rs
+++ b/crates/egret_weights/src/lib.rs
@@ -4,10 +4,10 @@
 //! digest of every chunk. Origin and peers are not trusted: a chunk is checked
 //! before it is kept or passed on.
 //!
-//! - [`manifest`]: what a version consists of.
-//! - [`chunk_store`]: the chunks of versions on disk.
-//! - [`tree`]: who fetches which chunk from whom.
-//! - [`bucket`]: shares of a link.
+//! - `manifest`: what a version consists of.
+//! - `chunk_store`: the chunks of versions on disk.
+//! - `tree`: who fetches which chunk from whom.
+//! - `bucket`: shares of a link.
 //!
 //! ```
 //! use egret_weights::Manifest;
