--- a/crates/egret_bench/src/deployment.rs
+++ b/crates/egret_bench/src/deployment.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::BTreeMap,
     fs, io,
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     time::Duration,
 };
@@ -116,7 +116,7 @@
             processes: BTreeMap::new(),
             entries: BTreeMap::new(),
             backends: BTreeMap::new(),
-            origin: free_address(Ipv4Addr::LOCALHOST.into())?,
+            origin: own_address(&network, "origin", "origin")?,
             controls: BTreeMap::new(),
             network,
             client: HttpClient::fresh(None),
@@ -139,16 +139,18 @@
                 deployment.start_agent(place, *engine, None, &plan.agent_settings)?;
                 continue;
             }
-            let engine = free_address(Ipv4Addr::LOCALHOST.into())?;
+            let name = format!("engine-{}", place.name);
+            let engine = own_address(&deployment.network, &name, &place.data_centre)?;
             let mut args = vec!["engine".to_owned(), "--listen".to_owned(), engine.to_string()];
             args.extend(plan.engine_args.iter().cloned());
-            deployment.spawn(&format!("engine-{}", place.name), "egret-standin", args)?;
+            deployment.spawn(&name, "egret-standin", args)?;
             deployment.start_agent(place, engine, None, &plan.agent_settings)?;
         }
         for (place, service) in &plan.services {
-            let address = free_address(Ipv4Addr::LOCALHOST.into())?;
+            let name = format!("service-{}", place.name);
+            let address = own_address(&deployment.network, &name, &place.data_centre)?;
             let args = ["service", "--listen", &address.to_string()].map(str::to_owned);
-            deployment.spawn(&format!("service-{}", place.name), "egret-standin", args.to_vec())?;
+            deployment.spawn(&name, "egret-standin", args.to_vec())?;
             deployment.start_agent(place, address, Some(service), &plan.agent_settings)?;
         }
         Ok(deployment)
@@ -438,6 +440,15 @@
     }
 }
 
+/// Takes an address for a process that connects nowhere.
+///
+/// On an address of its own nobody's outgoing connection takes its port before
+/// the process does.
+fn own_address(network: &Network, name: &str, data_centre: &str) -> io::Result<SocketAddr> {
+    let (own, _) = network.add(name, data_centre);
+    free_address(own)
+}
+
 /// Takes a free port of an address from the kernel.
 ///
 /// # Errors
