--- a/crates/egret_entry/src/dispatch.rs
+++ b/crates/egret_entry/src/dispatch.rs
@@ -222,7 +222,7 @@
             refused.insert(candidate.name.clone());
             let harmless = refusal.ran == Ran::NotRun || call.kind == Kind::Idempotent;
             let timely = Instant::now() < deadline && refusal.code != Code::DeadlinePassed;
-            if !harmless || !timely || tries == TRIES_MAX || !self.may_retry(&refusal) {
+            if !harmless || !timely || tries == TRIES_MAX || !self.routes().budget.spend() {
                 log::info!("event=given_up request={} tries={tries} {refusal}", call.id);
                 return Err(refusal);
             }
@@ -266,11 +266,6 @@
         self.routes().hints.close(name, wait.min(CLOSED_TIME), now);
     }
 
-    /// Takes an extra try; one after an overload is paid for like any other.
-    fn may_retry(&self, _refusal: &Refusal) -> bool {
-        self.routes().budget.spend()
-    }
-
     fn nothing_live(&self, view: &View, call: &Call, refused: &FastSet<BackendName>) -> Refusal {
         if refused.is_empty() {
             let live = view.live_replicas(&call.record);
