Pace uploads beside answers, ask the origin only as a root, stay near

Cause: an engine's answers share its instance's 7.3 Mbit/s with pieces for other agents; bursts of pieces held events back for over 300 ms. Agents fell back to the origin whenever a parent was merely behind, and filled its 48 connections. Requests went to engines in other regions long before the near ones were full.

Left: the last engine changes 7.9 s after the naming when the origin is down for 6 s.

--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -9,16 +9,11 @@
 
 use egret_fleet::{ProcessKind, Sighting};
 use egret_record::{DataCentre, FastMap, FastSet, WeightVersion};
-use egret_route::RetryBudget;
+use egret_route::{Distance, RetryBudget};
 use egret_rpc::Follower;
 use rand::{SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 
-use crate::{
-    Wire,
-    backend::Backend,
-    service::Places,
-    tables::{Named, Tables},
-};
+use crate::{Wire, backend::Backend, service::Places, tables::Tables};
 
 /// Most entries that a caller is told of.
 const ENTRIES_TOLD: usize = 64;
@@ -52,6 +47,8 @@
     /// Engines whose agents are about to change their weights.
     switching: RefCell<FastSet<SocketAddr>>,
     entries: Cell<u32>,
+    /// Entries in this data centre.
+    near: Cell<u32>,
     pub(crate) places: Places,
     pub(crate) budget: RefCell<RetryBudget>,
     random: RefCell<SmallRng>,
@@ -77,6 +74,7 @@
             backends: RefCell::default(),
             switching: RefCell::default(),
             entries: Cell::new(0),
+            near: Cell::new(0),
             places: Places::default(),
             random: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             leaving: Cell::new(false),
@@ -185,6 +183,20 @@
         self.entries.get().max(1)
     }
 
+    /// Returns the number of entries in this data centre.
+    pub(crate) fn near_count(&self) -> u32 {
+        self.near.get().max(1)
+    }
+
+    pub(crate) fn distance_to(&self, data_centre: &DataCentre) -> Distance {
+        if data_centre == self.data_centre() {
+            return Distance::Near;
+        }
+        let own = self.region_of(self.data_centre());
+        let region = self.region_of(data_centre);
+        if region.is_some() && region == own { Distance::Region } else { Distance::Far }
+    }
+
     pub(crate) fn is_switching(&self, engine: &SocketAddr) -> bool {
         self.switching.borrow().contains(engine)
     }
@@ -197,9 +209,7 @@
 
     /// Returns the version of a model that alone may answer, if others may not any more.
     pub(crate) fn strict_version(&self, model: &str, now: Duration) -> Option<WeightVersion> {
-        let tables = self.tables.borrow();
-        let Named { version, since } = tables.named.get(model)?;
-        (now >= *since + self.settings.version_grace).then_some(*version)
+        self.tables.borrow().due_version(model, self.settings.version_grace, now)
     }
 
     fn refresh_tables(&self) {
@@ -245,6 +255,8 @@
                 backend.seen.replace(agent.loaded.clone());
             }
         }
+        let near = fleet.entries().filter(|one| one.data_centre == *self.data_centre()).count();
+        self.near.set(u32::try_from(near).unwrap_or(u32::MAX));
         let entries = fleet.entries().count();
         let entries = u32::try_from(entries).unwrap_or(u32::MAX).max(1);
         if self.entries.replace(entries) != entries {
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -19,6 +19,10 @@
 const ENGINE_HEADROOM: f64 = 1.1;
 /// The same for plain services, whose queues are short beside their work.
 const PLAIN_HEADROOM: f64 = 2.0;
+/// Part of a cold backend server's bound that is used; the platform tolerates half as much again.
+const COLD_PART: f64 = 1.2;
+/// Load of backend servers far away, as part of their slots, while there are none near.
+const USUAL_LOAD: f64 = 0.6;
 /// Pause between two looks whether time has opened a place.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -169,11 +173,10 @@
         }
         let entries = gateway.entry_count();
         let open: Vec<_> = fitting.into_iter().filter(|one| is_open(one, now)).collect();
-        let places: Vec<_> =
-            open.iter().map(|one| place_of(gateway, one, &spec, entries)).collect();
+        let places = places_of(gateway, &open, &spec);
         let Some(at) = place(&places, &mut *gateway.random()) else { return Err(Lack::Room) };
         let backend = open[at].clone();
-        backend.pace.borrow_mut().admit(spec.cold.per_s, entries, now);
+        backend.pace.borrow_mut().admit(spec.cold.per_s * COLD_PART, entries, now);
         backend.health.borrow_mut().sent();
         backend.own.set(backend.own.get() + 1);
         self.placed.set(self.placed.get() + 1);
@@ -223,25 +226,35 @@
         && now >= backend.full_until.get()
 }
 
-fn place_of(gateway: &Gateway, backend: &Backend, spec: &ServiceSpec, entries: u32) -> Place {
-    let status = backend.status.borrow();
+/// Describes backend servers by what this entry knows of their load.
+///
+/// Entries prefer the backend servers near them, so those have about this
+/// entry's requests times the entries near. Those far away are thought to be as
+/// loaded as the ones near.
+fn places_of(gateway: &Gateway, open: &[&Rc<Backend>], spec: &ServiceSpec) -> Vec<Place> {
     let headroom = if spec.engine.is_some() { ENGINE_HEADROOM } else { PLAIN_HEADROOM };
-    let region = gateway.region_of(&status.data_centre);
-    let distance = if status.data_centre == *gateway.data_centre() {
-        Distance::Near
-    } else if region.is_some() && region == gateway.region_of(gateway.data_centre()) {
-        Distance::Region
-    } else {
-        Distance::Far
+    let (near, all) = (gateway.near_count(), gateway.entry_count());
+    let distances: Vec<_> =
+        open.iter().map(|one| gateway.distance_to(&one.status.borrow().data_centre)).collect();
+    let loads = open.iter().zip(&distances).filter(|(_, distance)| **distance == Distance::Near);
+    let loads: Vec<f64> = loads
+        .map(|(one, _)| {
+            let slots = one.status.borrow().slots.max(1);
+            f64::from(one.own.get()) * f64::from(near) / f64::from(slots)
+        })
+        .collect();
+    let usual =
+        if loads.is_empty() { USUAL_LOAD } else { loads.iter().sum::<f64>() / loads.len() as f64 };
+    let describe = |(one, distance): (&&Rc<Backend>, Distance)| {
+        let slots = one.status.borrow().slots;
+        let own = one.own.get();
+        let (load, entries) = match distance {
+            Distance::Near => (f64::from(own) * f64::from(near), near),
+            Distance::Region | Distance::Far => (usual * f64::from(slots) + f64::from(own), all),
+        };
+        Place { own, bound: entry_bound(slots, headroom, entries), load, slots, distance }
     };
-    Place {
-        own: backend.own.get(),
-        bound: entry_bound(status.slots, headroom, entries),
-        others: 0.0,
-        slots: entry_bound(status.slots, 1.0, entries),
-        pace: 1.0,
-        distance,
-    }
+    open.iter().zip(distances).map(describe).collect()
 }
 
 /// Draws the service of a request by the weights of its route.
--- a/crates/egret_gateway/src/tables.rs
+++ b/crates/egret_gateway/src/tables.rs
@@ -17,7 +17,8 @@
     pub(crate) catalog: Option<Arc<Catalog>>,
     pub(crate) index: Rc<CatalogIndex>,
     pub(crate) out: FastSet<DataCentre>,
-    pub(crate) named: FastMap<String, Named>,
+    /// The versions of each model's weights that were named, the latest last.
+    pub(crate) named: FastMap<String, Vec<Named>>,
 }
 
 impl Tables {
@@ -34,8 +35,10 @@
             None => Rc::default(),
         };
         let named = view.weights.iter().map(|(model, version)| {
-            let known = self.named.get(model).filter(|named| named.version == *version);
-            let named = known.copied().unwrap_or(Named { version: *version, since: now });
+            let mut named = self.named.get(model).cloned().unwrap_or_default();
+            if named.last().is_none_or(|last| last.version < *version) {
+                named.push(Named { version: *version, since: now });
+            }
             (model.clone(), named)
         });
         Self {
@@ -46,6 +49,21 @@
         }
     }
 
+    /// Returns the oldest version of a model that may still answer `grace` after its successor
+    /// was named.
+    ///
+    /// Each version is due by its own time, also when a later one is named meanwhile.
+    pub(crate) fn due_version(
+        &self,
+        model: &str,
+        grace: Duration,
+        now: Duration,
+    ) -> Option<WeightVersion> {
+        let named = self.named.get(model)?;
+        let due = named.iter().filter(|named| now >= named.since + grace);
+        due.map(|named| named.version).max()
+    }
+
     pub(crate) fn is_out(&self, data_centre: &DataCentre) -> bool {
         self.out.contains(data_centre)
     }
--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -1,38 +1,77 @@
 //! Fetches what is missing.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
+use egret_record::FastMap;
 use egret_rpc::{Connections, schema::peer};
 use egret_weights::PieceList;
 use futures::{StreamExt as _, stream};
-use tokio::time::timeout;
+use tokio::{
+    sync::Semaphore,
+    time::{Instant, sleep, timeout},
+};
 
 use crate::{
     engine::{Engine, EngineError, Origin},
     holdings::{Held, Target},
+    peer::NOT_FETCHING,
     sources::Source,
 };
 
 /// Pieces that are fetched at the same time.
-const WINDOW: usize = 12;
+const WINDOW: usize = 16;
 /// Pieces that are read back and verified at the same time.
 const VERIFY_WINDOW: usize = 4;
 /// Longest wait for a piece from another agent.
-const AGENT_TIMEOUT: Duration = Duration::from_millis(1_600);
+const AGENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time for which an agent that failed is passed over.
+const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
+/// Pause before the origin is asked again after a failure.
+const ORIGIN_PAUSE: Duration = Duration::from_millis(150);
+/// Pieces that one agent asks of the origin at once, which limits its connections.
+const ORIGIN_WINDOW: usize = 2;
 /// Longest wait for a piece list from another agent.
 const LIST_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest wait for an answer of the origin, whose link all share.
-const ORIGIN_TIMEOUT: Duration = Duration::from_secs(4);
+const ORIGIN_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Fetches pieces for one engine.
 pub(crate) struct Fetcher<E, O> {
     pub(crate) engine: Rc<E>,
     pub(crate) origin: Rc<O>,
-    pub(crate) agents: Connections<peer::Client>,
+    agents: Connections<peer::Client>,
+    origin_permits: Semaphore,
+    /// Agents that failed, with when they are asked again.
+    suspects: RefCell<FastMap<SocketAddr, Instant>>,
+}
+
+/// What an agent said of a piece.
+enum Piece {
+    /// Here it is.
+    Here(Bytes),
+    /// It has none yet.
+    Later,
+    /// It does not fetch the version, or cannot be reached.
+    Never,
 }
 
 impl<E: Engine, O: Origin> Fetcher<E, O> {
+    pub(crate) fn new(engine: Rc<E>, origin: O, own: IpAddr) -> Self {
+        Self {
+            engine,
+            origin: Rc::new(origin),
+            agents: Connections::new(own),
+            origin_permits: Semaphore::new(ORIGIN_WINDOW),
+            suspects: RefCell::default(),
+        }
+    }
+
     /// Fetches the piece list of a version.
     pub(crate) async fn list(
         &self,
@@ -90,67 +129,97 @@
     ) {
         let missing = stream::iter(held.missing());
         let fetches = missing.map(async |index| {
-            if wanted() {
+            while wanted() && !held.has(index) {
                 self.fetch(held, index, sources(index)).await;
             }
         });
         fetches.buffer_unordered(WINDOW).collect::<()>().await;
     }
 
+    /// Tries to fetch a piece once.
     async fn fetch(&self, held: &Held, index: u32, sources: Vec<Source>) {
-        for source in sources {
-            let content = match source {
-                Source::Agent(address) => self.piece_of_agent(address, &held.target, index).await,
-                Source::Origin => self.piece_of_origin(&held.target, index).await,
-            };
-            let Some(content) = content else { continue };
-            if !held.list.accepts(index, &content) {
-                log::warn!("event=piece_spoilt piece={index} from={source:?}");
-                continue;
-            }
-            let kind = if source == Source::Origin { "origin" } else { "agent" };
-            metrics::counter!("egret_loader_pieces_total", "from" => kind).increment(1);
-            log::debug!("event=piece_fetched piece={index} from={source:?}");
-            match self.engine.stage(&held.target.model, index, content).await {
-                Ok(()) => held.insert(index),
-                Err(error) => log::warn!("event=piece_not_staged piece={index} error=\"{error}\""),
+        let source = self.best(&sources);
+        let content = match source {
+            Source::Agent(address) => match self.piece_of_agent(address, held, index).await {
+                Piece::Here(content) => Some(content),
+                Piece::Later => return,
+                Piece::Never => {
+                    self.suspect(address, SUSPECT_TIME);
+                    return;
+                }
+            },
+            Source::Origin => self.piece_of_origin(&held.target, index).await,
+        };
+        let Some(content) = content else {
+            sleep(ORIGIN_PAUSE).await;
+            return;
+        };
+        if !held.list.accepts(index, &content) {
+            log::warn!("event=piece_spoilt piece={index} from={source:?}");
+            if let Source::Agent(address) = source {
+                self.suspect(address, SUSPECT_TIME);
             }
             return;
         }
+        let kind = if source == Source::Origin { "origin" } else { "agent" };
+        metrics::counter!("egret_loader_pieces_total", "from" => kind).increment(1);
+        log::debug!("event=piece_fetched piece={index} from={source:?}");
+        match self.engine.stage(&held.target.model, index, content).await {
+            Ok(()) => held.insert(index),
+            Err(error) => {
+                log::warn!("event=piece_not_staged piece={index} error=\"{error}\"");
+                sleep(ORIGIN_PAUSE).await;
+            }
+        }
+    }
+
+    /// Returns the first source that has not failed lately; the origin when all have.
+    fn best(&self, sources: &[Source]) -> Source {
+        let now = Instant::now();
+        let suspects = self.suspects.borrow();
+        let well = |source: &&Source| match source {
+            Source::Agent(address) => suspects.get(address).is_none_or(|until| now >= *until),
+            Source::Origin => true,
+        };
+        sources.iter().find(well).copied().unwrap_or(Source::Origin)
+    }
+
+    fn suspect(&self, address: SocketAddr, time: Duration) {
+        self.suspects.borrow_mut().insert(address, Instant::now() + time);
     }
 
     async fn piece_of_origin(&self, target: &Target, index: u32) -> Option<Bytes> {
+        let _permit = self.origin_permits.acquire().await.ok()?;
         let asked = self.origin.piece(&target.model, target.version, index);
         match timeout(ORIGIN_TIMEOUT, asked).await {
             Ok(Ok(content)) => Some(content),
             Ok(Err(error)) => {
-                log::warn!("event=origin_failed piece={index} error=\"{error}\"");
+                log::info!("event=origin_failed piece={index} error=\"{error}\"");
                 None
             }
             Err(_) => {
-                log::warn!("event=origin_silent piece={index}");
+                log::info!("event=origin_silent piece={index}");
                 None
             }
         }
     }
 
-    async fn piece_of_agent(
-        &self,
-        address: SocketAddr,
-        target: &Target,
-        index: u32,
-    ) -> Option<Bytes> {
+    async fn piece_of_agent(&self, address: SocketAddr, held: &Held, index: u32) -> Piece {
         let asked = timeout(AGENT_TIMEOUT, async {
             let connection = self.agents.get(address).await.map_err(|error| failed(&error))?;
             let mut call = connection.client().chunk_request();
-            call.get().set_version(&target.key().0);
+            call.get().set_version(&held.target.key().0);
             call.get().set_index(index);
             let answer = call.send().promise.await?;
             let answer = answer.get()?;
-            let content = answer.get_found().then(|| answer.get_content()).transpose()?;
-            Ok::<_, capnp::Error>(content.map(Bytes::copy_from_slice))
+            let piece = match answer.get_found() {
+                true => Piece::Here(Bytes::copy_from_slice(answer.get_content()?)),
+                false if answer.get_progress() == NOT_FETCHING => Piece::Never,
+                false => Piece::Later,
+            };
+            Ok::<_, capnp::Error>(Some(piece))
         });
-        self.answer_of_agent(address, asked.await)
+        self.answer_of_agent(address, asked.await).unwrap_or(Piece::Never)
     }
 
     async fn list_of_agent(&self, address: SocketAddr, target: &Target) -> Option<PieceList> {
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -4,7 +4,7 @@
 
 use egret_fleet::{EngineWord, ProcessKind, ProcessStatus, version_of};
 use egret_record::WeightVersion;
-use egret_rpc::{Connections, Follower, listen, schema::peer};
+use egret_rpc::{Follower, listen, schema::peer};
 use egret_telemetry::{ListenError, bind};
 use egret_weights::WavePlan;
 use tokio::time::{sleep, timeout};
@@ -35,6 +35,8 @@
     pub process: ProcessStatus,
     /// When the engines of a service change their weights.
     pub waves: WavePlan,
+    /// Bytes a second that may be sent to other agents.
+    pub upload_bytes: u64,
 }
 
 /// Brings named weights to one engine.
@@ -44,7 +46,10 @@
     holdings: Rc<Holdings>,
     fetcher: Fetcher<E, O>,
     engine: Rc<E>,
-    named: RefCell<Option<(Target, Duration)>>,
+    /// When each version was named, as this process heard; the latest last.
+    named: RefCell<Vec<(Target, Duration)>>,
+    /// The last failure, which is logged once for as long as it lasts.
+    failure: RefCell<Option<EngineError>>,
 }
 
 impl<E, O> std::fmt::Debug for Loader<E, O> {
@@ -58,13 +63,17 @@
     pub fn new(settings: LoaderSettings, follower: Rc<Follower>, engine: E, origin: O) -> Self {
         let engine = Rc::new(engine);
         let own = settings.process.address.ip();
-        let fetcher = Fetcher {
-            engine: engine.clone(),
-            origin: Rc::new(origin),
-            agents: Connections::new(own),
-        };
+        let fetcher = Fetcher::new(engine.clone(), origin, own);
         let holdings = Rc::default();
-        Self { settings, follower, holdings, fetcher, engine, named: RefCell::default() }
+        Self {
+            settings,
+            follower,
+            holdings,
+            fetcher,
+            engine,
+            named: RefCell::default(),
+            failure: RefCell::default(),
+        }
     }
 
     /// Runs for as long as it is awaited; must be awaited within a `LocalSet`.
@@ -74,17 +83,38 @@
     /// Returns a [`ListenError`] when other agents cannot be listened to.
     pub async fn run(&self) -> Result<(), ListenError> {
         let listener = bind(self.settings.process.address).await?;
-        let server = PeerServer { holdings: self.holdings.clone(), engine: self.engine.clone() };
+        let upload = self.settings.upload_bytes;
+        let server = PeerServer::new(self.holdings.clone(), self.engine.clone(), upload);
         let client: peer::Client = capnp_rpc::new_client(server);
         tokio::task::spawn_local(listen(listener, client.client));
         let mut news = self.follower.news();
         loop {
-            if let Err(error) = self.step().await {
-                log::warn!("event=loading_failed error=\"{error}\"");
-                self.follower.announce(|process| process.switching = false);
+            let failure = self.step().await.err();
+            self.log_failure(failure.as_ref());
+            if failure.is_some() {
+                self.set_switching(false);
                 sleep(FAILURE_PAUSE).await;
+            } else {
+                let _ = timeout(LOOK_PERIOD, news.changed()).await;
+            }
+        }
+    }
+
+    /// Logs when loading begins to fail, fails otherwise, or goes on again.
+    fn log_failure(&self, failure: Option<&EngineError>) {
+        let known = self.failure.replace(failure.cloned());
+        match (known.as_ref(), failure) {
+            (known, Some(error)) if known != Some(error) => {
+                log::warn!("event=loading_failed error=\"{error}\"");
             }
-            let _ = timeout(LOOK_PERIOD, news.changed()).await;
+            (Some(_), None) => log::info!("event=loading_goes_on"),
+            _ => {}
+        }
+    }
+
+    fn set_switching(&self, switching: bool) {
+        if self.follower.process().is_some_and(|process| process.switching != switching) {
+            self.follower.announce(|process| process.switching = switching);
         }
     }
 
@@ -104,7 +134,7 @@
         if !self.is_wanted(&target) || !held.missing().is_empty() {
             return Ok(());
         }
-        self.switch(&held, loaded.is_some()).await
+        self.switch(&held, loaded).await
     }
 
     /// Tells entries and other agents what the engine has loaded.
@@ -132,9 +162,9 @@
         if version > WeightVersion(0) {
             let target = Target { model, version };
             let mut named = self.named.borrow_mut();
-            if named.as_ref().is_none_or(|(known, _)| *known != target) {
+            if named.last().is_none_or(|(known, _)| *known != target) {
                 log::info!("event=version_wanted model={} version={version}", target.model);
-                *named = Some((target.clone(), self.follower.now()));
+                named.push((target.clone(), self.follower.now()));
             }
             return Ok(Some(target));
         }
@@ -221,14 +251,14 @@
     }
 
     /// Makes the engine load what lies there, in its turn.
-    async fn switch(&self, held: &Held, serving: bool) -> Result<(), EngineError> {
+    async fn switch(&self, held: &Held, loaded: Option<WeightVersion>) -> Result<(), EngineError> {
         let target = &held.target;
-        if serving {
-            self.wait_for_turn(target).await;
+        if let Some(loaded) = loaded {
+            self.wait_for_turn(target, loaded).await;
             if !self.is_wanted(target) {
                 return Ok(());
             }
-            self.follower.announce(|process| process.switching = true);
+            self.set_switching(true);
             sleep(HEARD_TIME).await;
         }
         // Pieces may turn bad while they lie there, so they are verified right before.
@@ -239,7 +269,7 @@
                 target.version,
                 held.missing().len()
             );
-            self.follower.announce(|process| process.switching = false);
+            self.set_switching(false);
             return Ok(());
         }
         log::info!("event=load_ordered model={} version={}", target.model, target.version);
@@ -255,13 +285,18 @@
         }
         let report = self.engine.report().await?;
         self.say(&report);
-        self.follower.announce(|process| process.switching = false);
+        self.set_switching(false);
         log::info!("event=load_ended version={} models={:?}", target.version, report.models);
         ordered
     }
 
-    async fn wait_for_turn(&self, target: &Target) {
-        let named = self.named.borrow().as_ref().map(|(_, since)| *since);
+    /// Waits until it is this engine's turn to leave the version `loaded`.
+    async fn wait_for_turn(&self, target: &Target, loaded: WeightVersion) {
+        // The first later version decides: each is due by its own time.
+        let later = |(named, _): &&(Target, Duration)| {
+            named.model == target.model && named.version > loaded
+        };
+        let named = self.named.borrow().iter().find(later).map(|(_, since)| *since);
         let Some(named) = named else { return };
         let start = named + self.turn();
         while self.follower.now() < start && self.is_wanted(target) {
--- a/crates/egret_loader/src/peer.rs
+++ b/crates/egret_loader/src/peer.rs
@@ -1,11 +1,12 @@
 //! Pieces for other agents.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use egret_record::VersionDigest;
 use egret_rpc::schema::peer;
-use tokio::time::timeout;
+use egret_weights::Bucket;
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     engine::Engine,
@@ -13,15 +14,32 @@
 };
 
 /// Longest wait for a piece that is still on its way, short enough to be a sign of life.
-const WAIT: Duration = Duration::from_millis(800);
+const WAIT: Duration = Duration::from_millis(500);
+/// Says that this agent does not fetch the version, in place of its progress.
+pub(crate) const NOT_FETCHING: u32 = u32::MAX;
 
 /// Serves pieces to other agents.
 pub(crate) struct PeerServer<E> {
-    pub(crate) holdings: Rc<Holdings>,
-    pub(crate) engine: Rc<E>,
+    holdings: Rc<Holdings>,
+    engine: Rc<E>,
+    /// Shares the link with the answers of the engine.
+    upload: RefCell<Bucket>,
+    start: Instant,
 }
 
 impl<E: Engine> PeerServer<E> {
+    /// Makes a server that sends at most `upload` bytes a second.
+    pub(crate) fn new(holdings: Rc<Holdings>, engine: Rc<E>, upload: u64) -> Self {
+        let upload = RefCell::new(Bucket::new(upload));
+        Self { holdings, engine, upload, start: Instant::now() }
+    }
+
+    /// Waits until the link has room for so many bytes.
+    async fn pay(&self, bytes: usize) {
+        let wait = self.upload.borrow_mut().take(bytes as u64, self.start.elapsed());
+        sleep(wait).await;
+    }
+
     /// Waits for a version that may be named here in a moment.
     async fn wait_for_version(&self, key: VersionDigest) -> Option<Rc<Held>> {
         let mut replaced = self.holdings.replaced();
@@ -78,13 +96,15 @@
             (key_of(params.get_version()?)?, params.get_index())
         };
         if let Some(content) = self.find(key, index).await {
+            self.pay(content.len()).await;
             self.holdings.sent.set(self.holdings.sent.get() + 1);
             let mut answer = results.get();
             answer.set_found(true);
             answer.set_content(&content);
         }
-        let held = self.holdings.find(key).map_or(0, |held| held.indexes().len());
-        results.get().set_progress(u32::try_from(held).unwrap_or(u32::MAX));
+        let held = self.holdings.find(key).map(|held| held.indexes().len());
+        let progress = held.and_then(|count| u32::try_from(count).ok());
+        results.get().set_progress(progress.unwrap_or(NOT_FETCHING));
         Ok(())
     }
 
--- a/crates/egret_route/src/placement.rs
+++ b/crates/egret_route/src/placement.rs
@@ -1,15 +1,22 @@
 //! Which backend server a request goes to, by the load that each is known to have.
 //!
-//! Answers the pattern of many entries before few engines that batch: every
-//! place beyond an engine's batch waits for a whole answer to end, so requests
-//! go where the fewest are, and a little distance is cheaper than any wait.
+//! Answers the pattern of many entries before few engines that batch: a place
+//! in a batch that is not full costs next to nothing, every place beyond it
+//! waits for a whole answer to end. So requests stay near, where links are short
+//! and not shared, until the engines there are nearly full.
 
 use rand::{Rng, RngExt as _};
 
-/// Additional load, in requests, that equals the distance to another region.
-const REGION_LOAD: f64 = 1.0;
-/// Additional load, in requests, that equals the distance to another data centre.
-const CENTRE_LOAD: f64 = 0.5;
+/// Part of an engine's batch up to which one more request hardly slows the others.
+const EASY_PART: f64 = 0.8;
+/// Cost of a full batch that is not beyond that part.
+const EASY_COST: f64 = 0.2;
+/// Cost of each whole batch beyond that part.
+const CROWDED_COST: f64 = 4.0;
+/// Cost of the distance to another data centre of the region.
+const REGION_COST: f64 = 0.1;
+/// Cost of the distance to another region, whose links all share.
+const FAR_COST: f64 = 0.3;
 
 /// How far away a backend server is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,12 +36,10 @@
     pub own: u32,
     /// Most requests of this entry that it may have.
     pub bound: u32,
-    /// Requests of others that it is thought to have.
-    pub others: f64,
+    /// Requests of all entries that it is thought to have.
+    pub load: f64,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// How many times slower than usual it is.
-    pub pace: f64,
     /// How far away it is.
     pub distance: Distance,
 }
@@ -47,16 +52,13 @@
     }
 
     fn cost(&self) -> f64 {
-        let load = (f64::from(self.own) + self.others + 1.0) / f64::from(self.slots.max(1));
+        let load = (self.load + 1.0) / f64::from(self.slots.max(1));
         let distance = match self.distance {
             Distance::Near => 0.0,
-            Distance::Region => CENTRE_LOAD,
-            Distance::Far => REGION_LOAD,
+            Distance::Region => REGION_COST,
+            Distance::Far => FAR_COST,
         };
-        let distance = distance / f64::from(self.slots.max(1));
-        // Beyond the batch a request waits; before it, each one slows the others a little.
-        let waiting = (load - 1.0).max(0.0);
-        (load + distance + waiting * 4.0) * self.pace.max(0.1)
+        load * EASY_COST + (load - EASY_PART).max(0.0) * CROWDED_COST + distance
     }
 }
 
