Let bounds follow the time to the first event; keep a wiped member that rejoined

Change: AdaptiveBound per engine and entry; admission as a function with tests; namings carry their age from the control state; far engines come last.

--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -5,15 +5,15 @@
 use egret_consensus::{
     Envelope, Index, LogEntry, Member, Membership, Node, Payload, Role, Snapshot, Term,
 };
-use egret_record::{FastMap, MemberId, Revision};
-use egret_rpc::{Command, LeaveReason, Reply, SharedFleet, decode, encode};
+use egret_record::{FastMap, MemberId, Revision, WeightVersion};
+use egret_rpc::{Command, LeaveReason, Naming, Reply, SharedFleet, decode, encode};
 use egret_store::{Journal, StoreError};
 use tokio::{
     sync::{Notify, mpsc, oneshot, watch},
     time::{Instant, sleep_until},
 };
 
-use crate::{holders::Holders, peers::Peers, state::State};
+use crate::{admission::Admission, holders::Holders, peers::Peers, state::State};
 
 /// Inputs that are handled before the disk is synced once for all of them.
 const BATCH_INPUTS: usize = 512;
@@ -56,6 +56,8 @@
     /// What backend servers and processes say of themselves.
     pub(crate) fleet: SharedFleet,
     admission: Admission,
+    /// When this process saw versions of weights being named.
+    namings: Vec<(String, WeightVersion, Option<Duration>)>,
     journal: Journal,
     waiters: BTreeMap<Index, Waiter>,
     /// When a plan was proposed last.
@@ -68,15 +70,6 @@
     urgent: Rc<Notify>,
 }
 
-/// Whom a leader adds and removes without being told.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Admission {
-    /// Whether it does so at all.
-    pub(crate) auto: bool,
-    /// Voters that stay members however long they are silent.
-    pub(crate) voters: usize,
-}
-
 /// What a core is built from.
 pub(crate) struct CoreParts {
     pub(crate) node: Node,
@@ -99,6 +92,7 @@
             introduced: FastMap::default(),
             fleet: SharedFleet::default(),
             admission: parts.admission,
+            namings: Vec::new(),
             journal: parts.journal,
             waiters: BTreeMap::new(),
             planned_at: Duration::ZERO,
@@ -156,6 +150,34 @@
         self.leader_silence().is_some_and(|silence| silence < STALE_TIME)
     }
 
+    /// Returns how long ago versions of weights were named.
+    pub(crate) fn namings(&self) -> Vec<Naming> {
+        /// Said of versions that were named before this process could see it.
+        const LONG_AGO: Duration = Duration::from_secs(3_600);
+        let now = self.now();
+        let naming = |(model, version, at): &(String, WeightVersion, Option<Duration>)| Naming {
+            model: model.clone(),
+            version: *version,
+            age: at.map_or(LONG_AGO, |at| now.saturating_sub(at)),
+        };
+        self.namings.iter().map(naming).collect()
+    }
+
+    /// Notes when versions of weights are named.
+    fn note_namings(&mut self) {
+        /// Time after the start in which this process learns what happened before.
+        const CATCH_UP: Duration = Duration::from_secs(3);
+        let now = self.now();
+        for (model, version) in &self.state.view().weights {
+            let known =
+                |(one, named, _): &(String, WeightVersion, _)| one == model && *named >= *version;
+            if !self.namings.iter().any(known) {
+                let at = (now > CATCH_UP).then_some(now);
+                self.namings.push((model.clone(), *version, at));
+            }
+        }
+    }
+
     /// Takes in what was heard of a backend server or process.
     pub(crate) fn observe(&mut self, sighting: &egret_fleet::Sighting) {
         let now = self.now();
@@ -185,27 +207,13 @@
     fn admit_waiting(&mut self, now: Duration) {
         /// Silence after which a voter beyond the wanted number is removed.
         const SILENCE: Duration = Duration::from_secs(6);
-        if !self.admission.auto {
-            return;
-        }
-        let membership = self.node.membership();
-        let next = if let Some((id, member)) = self.waiting.values().next() {
-            let former = membership.members.iter().find(|(_, one)| one.address == member.address);
-            match former {
-                // An empty disk came back at the address; the old identity never will.
-                Some((former, _)) => membership.without(*former),
-                None => membership.with_learner(*id, member.clone()),
-            }
-        } else if membership.voters.len() > self.admission.voters
-            && let Some(id) = self.node.silent_voters(SILENCE, now).first()
-        {
-            membership.without(*id)
-        } else {
+        let silent = self.node.silent_voters(SILENCE, now);
+        let Some(next) = self.admission.next(self.node.membership(), &self.waiting, &silent) else {
             return;
         };
-        let members = next.members.len();
+        let members: Vec<_> = next.members.values().map(|one| one.name.clone()).collect();
         if self.node.propose(Payload::Membership(next), now).is_ok() {
-            log::info!("event=membership_proposed members={members}");
+            log::info!("event=membership_proposed members={members:?} silent={silent:?}");
         }
     }
 
@@ -311,6 +319,7 @@
         for entry in ready.committed {
             self.apply(&entry);
         }
+        self.note_namings();
         self.revision.send_if_modified(|known| {
             let revision = self.state.view().revision;
             std::mem::replace(known, revision) != revision
--- a/crates/egret_control/src/lib.rs
+++ b/crates/egret_control/src/lib.rs
@@ -10,12 +10,14 @@
 //! - `claims`: requests that may run at most once.
 //! - `rollout`: which backend server shall run what.
 //! - `holders`: leases of entries and agents, known to the leader alone.
+//! - `admission`: whom a leader adds and removes by itself.
 //! - `bootstrap`: the first membership, and joining an existing one.
 //! - `driver`: the loop around node, disk and state.
 //! - `fleet_exchange`: what the other control instances heard of the fleet.
 //! - `server`: the interface to other processes.
 //! - `port`: the interface to this process's own outer interfaces.
 
+mod admission;
 mod bootstrap;
 mod claims;
 mod commands;
@@ -30,6 +32,7 @@
 mod server;
 mod state;
 
+pub use admission::Admission;
 pub use claims::Claims;
 pub use holders::Holders;
 pub use port::{ControlPort, NoAnswer};
--- a/crates/egret_control/src/program.rs
+++ b/crates/egret_control/src/program.rs
@@ -12,8 +12,9 @@
 use tokio::{sync::mpsc, task::LocalSet, time::Instant};
 
 use crate::{
+    admission::Admission,
     bootstrap,
-    driver::{Admission, Core, CoreParts, drive},
+    driver::{Core, CoreParts, drive},
     fleet_exchange,
     peers::Peers,
     port::ControlPort,
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -246,8 +246,10 @@
 
 fn watched(core: &Core, revision: Revision, cursor: FeedCursor) -> Watched {
     let members = core.membership().members.values();
+    let changed = core.state.view().revision > revision;
     Watched {
-        delta: (core.state.view().revision > revision).then(|| core.state.delta(revision)),
+        delta: changed.then(|| core.state.delta(revision)),
+        namings: if changed { core.namings() } else { Vec::new() },
         feed: core.fleet.feed.since(cursor, &core.fleet.fleet),
         fresh: core.is_fresh(),
         members: members.filter_map(|member| member.address.parse().ok()).collect(),
--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -105,6 +105,7 @@
         backend.health.borrow_mut().undecided();
         if !said.mismatch {
             backend.full_until.set(gateway.now() + FULL_TIME);
+            backend.was_full(gateway.now());
         }
         return Outcome::NotRun;
     }
@@ -114,6 +115,8 @@
         backend.health.borrow_mut().failed(Failure::Broken, gateway.now());
         return Outcome::Broken;
     }
+    let now = gateway.now();
+    backend.answered(now - started, job.route.objective, now);
     Outcome::Answer(Box::new(Answer { head, said, body, connection }))
 }
 
--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use egret_fleet::{BackendStatus, EngineWord, version_of};
 use egret_record::WeightVersion;
-use egret_route::{ColdPace, Health};
+use egret_route::{AdaptiveBound, ColdPace, Health};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -58,6 +58,8 @@
     pub(crate) pace: RefCell<ColdPace>,
     /// Requests of this process that it has.
     pub(crate) own: Cell<u32>,
+    /// How many requests of this process it is given; set when the first is placed.
+    pub(crate) bound: Cell<Option<AdaptiveBound>>,
     /// It refused a request for lack of room; it gets none until then.
     pub(crate) full_until: Cell<Duration>,
     idle: RefCell<Vec<Idle>>,
@@ -71,11 +73,28 @@
             health: RefCell::default(),
             pace: RefCell::default(),
             own: Cell::new(0),
+            bound: Cell::new(None),
             full_until: Cell::new(Duration::ZERO),
             idle: RefCell::default(),
         }
     }
 
+    /// Notes that an answer began after `delay`.
+    pub(crate) fn answered(&self, delay: Duration, objective: Duration, now: Duration) {
+        if let Some(mut bound) = self.bound.get() {
+            bound.answered(self.own.get(), delay, objective, now);
+            self.bound.set(Some(bound));
+        }
+    }
+
+    /// Notes that it had no room for a request.
+    pub(crate) fn was_full(&self, now: Duration) {
+        if let Some(mut bound) = self.bound.get() {
+            bound.late(now);
+            self.bound.set(Some(bound));
+        }
+    }
+
     /// Returns the version of a model that it can answer with.
     pub(crate) fn version_of(&self, model: &str) -> Option<WeightVersion> {
         let status = self.status.borrow();
--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -25,16 +25,18 @@
 const HEAD_TIME: Duration = Duration::from_millis(1_300);
 /// Answers up to this size are read whole before they are passed on, in bytes.
 const WHOLE_BYTES: u64 = 256 * 1024;
-/// Longest wait for a place.
-const WAIT_MAX: Duration = Duration::from_millis(1_000);
-/// The part of a request's time that it may wait for a place.
-const WAIT_PART: u32 = 3;
+/// Part of the time to be on time that a stream may wait for a place, in tenths.
+const STREAM_WAIT_TENTHS: u32 = 9;
+/// Longest wait for a place of other requests, which are short and worth something late.
+const PLAIN_WAIT: Duration = Duration::from_millis(600);
+/// Longest wait for a place of a stream that has begun.
+const REJOIN_WAIT: Duration = Duration::from_millis(900);
 /// Time that an engine usually takes until the first event, of the time to be on time.
 const FIRST_EVENT: Duration = Duration::from_millis(120);
 /// When a caller shall come back after a refusal: at least so late.
-const RETRY_MIN_MS: u64 = 300;
+const RETRY_MIN_MS: u64 = 600;
 /// When a caller shall come back after a refusal: at most so late, so that they spread.
-const RETRY_MAX_MS: u64 = 1_200;
+const RETRY_MAX_MS: u64 = 2_000;
 /// Time that is too short for another try.
 const USEFUL_TIME: Duration = Duration::from_millis(150);
 
@@ -71,6 +73,7 @@
             }
         };
         let id = call.id.clone();
+        let path = head.uri.path().to_owned();
         let result = match self.admit(call, head, arrived) {
             Ok(job) => self.clone().exchange(job, body).await,
             Err(refusal) => Err(refusal),
@@ -86,7 +89,10 @@
             Err(refusal) => {
                 metrics::counter!("egret_gateway_requests_total", "outcome" => "refused")
                     .increment(1);
-                log::info!("event=refused request={id} took_ms={} {refusal}", took.as_millis());
+                log::info!(
+                    "event=refused request={id} path={path} took_ms={} {refusal}",
+                    took.as_millis()
+                );
                 self.wire.refusal(&refusal, Some(&id))
             }
         }
@@ -213,7 +219,7 @@
             let message = "the time for the request is over";
             return Err(Refusal::not_run(Code::DeadlinePassed, message));
         }
-        let wait = (left / WAIT_PART).min(WAIT_MAX);
+        let wait = self.wait_of(job).min(left);
         let organisation = job.organisation.as_ref();
         let homes = [Some(&job.route.homes), organisation.map(|one| &one.homes)];
         let homes = homes.into_iter().flatten().filter(|homes| !homes.is_empty());
@@ -230,6 +236,20 @@
         self.places.acquire(self, wanted).await.map_err(|refusal| self.spread(refusal))
     }
 
+    /// Returns how long a request waits for a place.
+    ///
+    /// Beyond that a stream would be late, and would make others late as well.
+    fn wait_of(&self, job: &Job) -> Duration {
+        match job.route.kind {
+            RouteKind::Stream { .. } if job.last_event.is_some() => REJOIN_WAIT,
+            RouteKind::Stream { .. } => {
+                let until = job.arrived + job.route.objective * STREAM_WAIT_TENTHS / 10;
+                until.saturating_sub(self.now())
+            }
+            RouteKind::Idempotent | RouteKind::Once => PLAIN_WAIT,
+        }
+    }
+
     /// Returns how long to wait for the head of an answer.
     pub(crate) fn head_patience(&self, job: &Job) -> Duration {
         let left = job.deadline.saturating_sub(self.now());
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -213,8 +213,7 @@
     }
 
     fn refresh_tables(&self) {
-        let next = self.tables.borrow().next(&self.follower.view(), self.now());
-        let next = Rc::new(next);
+        let next = Rc::new(self.tables.borrow().next(&self.follower));
         let version = |tables: &Tables| tables.catalog.as_ref().map(|one| one.version.0);
         if version(&next) != version(&self.tables.borrow()) {
             log::info!("event=catalog_in_force version={:?}", version(&next));
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -7,7 +7,9 @@
 };
 
 use egret_record::{FastSet, Route, ServiceSpec, WeightVersion};
-use egret_route::{Code, Distance, Place, Refusal, Waiter, Waiting, entry_bound, place};
+use egret_route::{
+    AdaptiveBound, Code, Distance, Place, Refusal, Waiter, Waiting, entry_bound, place,
+};
 use tokio::{
     sync::{Notify, oneshot},
     time::timeout,
@@ -21,6 +23,10 @@
 const PLAIN_HEADROOM: f64 = 2.0;
 /// Part of a cold backend server's bound that is used; the platform tolerates half as much again.
 const COLD_PART: f64 = 1.2;
+/// First bound of a backend server far away, which has entries of its own near it.
+const FAR_BOUND: u32 = 1;
+/// Longest wait for a place while no backend server offers the service.
+const NONE_WAIT: Duration = Duration::from_millis(200);
 /// Load of backend servers far away, as part of their slots, while there are none near.
 const USUAL_LOAD: f64 = 0.6;
 /// Pause between two looks whether time has opened a place.
@@ -124,7 +130,10 @@
             Ok(slot) => return Ok(slot),
             Err(lack) => lack,
         };
-        let limit = wanted.until.saturating_sub(now);
+        let mut limit = wanted.until.saturating_sub(now);
+        if lack == Lack::None {
+            limit = limit.min(NONE_WAIT);
+        }
         let request = wanted.request.clone();
         let (sender, place) = oneshot::channel();
         let waiter = Waiter {
@@ -233,7 +242,7 @@
 /// loaded as the ones near.
 fn places_of(gateway: &Gateway, open: &[&Rc<Backend>], spec: &ServiceSpec) -> Vec<Place> {
     let headroom = if spec.engine.is_some() { ENGINE_HEADROOM } else { PLAIN_HEADROOM };
-    let (near, all) = (gateway.near_count(), gateway.entry_count());
+    let near = gateway.near_count();
     let distances: Vec<_> =
         open.iter().map(|one| gateway.distance_to(&one.status.borrow().data_centre)).collect();
     let loads = open.iter().zip(&distances).filter(|(_, distance)| **distance == Distance::Near);
@@ -248,11 +257,18 @@
     let describe = |(one, distance): (&&Rc<Backend>, Distance)| {
         let slots = one.status.borrow().slots;
         let own = one.own.get();
-        let (load, entries) = match distance {
-            Distance::Near => (f64::from(own) * f64::from(near), near),
-            Distance::Region | Distance::Far => (usual * f64::from(slots) + f64::from(own), all),
+        let (load, first) = match distance {
+            Distance::Near => {
+                (f64::from(own) * f64::from(near), entry_bound(slots, headroom, near))
+            }
+            Distance::Region | Distance::Far => {
+                (usual * f64::from(slots) + f64::from(own), FAR_BOUND)
+            }
         };
-        Place { own, bound: entry_bound(slots, headroom, entries), load, slots, distance }
+        let most = entry_bound(slots, headroom, 1);
+        let bound = one.bound.get().unwrap_or_else(|| AdaptiveBound::new(first.into(), most));
+        one.bound.set(Some(bound));
+        Place { own, bound: bound.get(), load, slots, distance }
     };
     open.iter().zip(distances).map(describe).collect()
 }
--- a/crates/egret_gateway/src/tables.rs
+++ b/crates/egret_gateway/src/tables.rs
@@ -2,14 +2,8 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use egret_record::{Catalog, CatalogIndex, DataCentre, FastMap, FastSet, View, WeightVersion};
-
-/// A version of weights that was named, and since when this process knows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Named {
-    pub(crate) version: WeightVersion,
-    pub(crate) since: Duration,
-}
+use egret_record::{Catalog, CatalogIndex, DataCentre, FastMap, FastSet, WeightVersion};
+use egret_rpc::Follower;
 
 /// What requests are judged by; replaced as a whole when the view changes.
 #[derive(Debug, Default)]
@@ -18,12 +12,13 @@
     pub(crate) index: Rc<CatalogIndex>,
     pub(crate) out: FastSet<DataCentre>,
     /// The versions of each model's weights that were named, the latest last.
-    pub(crate) named: FastMap<String, Vec<Named>>,
+    pub(crate) named: FastMap<String, Vec<(WeightVersion, Duration)>>,
 }
 
 impl Tables {
     /// Builds the tables of a view; what did not change is taken over.
-    pub(crate) fn next(&self, view: &View, now: Duration) -> Self {
+    pub(crate) fn next(&self, follower: &Follower) -> Self {
+        let view = follower.view();
         let same = match (&self.catalog, &view.catalog) {
             (Some(old), Some(new)) => old.version == new.version,
             (None, None) => true,
@@ -34,13 +29,7 @@
             Some(catalog) => Rc::new(CatalogIndex::new(catalog)),
             None => Rc::default(),
         };
-        let named = view.weights.iter().map(|(model, version)| {
-            let mut named = self.named.get(model).cloned().unwrap_or_default();
-            if named.last().is_none_or(|last| last.version < *version) {
-                named.push(Named { version: *version, since: now });
-            }
-            (model.clone(), named)
-        });
+        let named = view.weights.keys().map(|model| (model.clone(), follower.namings(model)));
         Self {
             catalog: view.catalog.clone(),
             index,
@@ -60,8 +49,8 @@
         now: Duration,
     ) -> Option<WeightVersion> {
         let named = self.named.get(model)?;
-        let due = named.iter().filter(|named| now >= named.since + grace);
-        due.map(|named| named.version).max()
+        let due = named.iter().filter(|(_, since)| now >= *since + grace);
+        due.map(|(version, _)| *version).max()
     }
 
     pub(crate) fn is_out(&self, data_centre: &DataCentre) -> bool {
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -46,8 +46,8 @@
     holdings: Rc<Holdings>,
     fetcher: Fetcher<E, O>,
     engine: Rc<E>,
-    /// When each version was named, as this process heard; the latest last.
-    named: RefCell<Vec<(Target, Duration)>>,
+    /// The version that was wanted last.
+    wanted: RefCell<Option<Target>>,
     /// The last failure, which is logged once for as long as it lasts.
     failure: RefCell<Option<EngineError>>,
 }
@@ -71,7 +71,7 @@
             holdings,
             fetcher,
             engine,
-            named: RefCell::default(),
+            wanted: RefCell::default(),
             failure: RefCell::default(),
         }
     }
@@ -161,10 +161,8 @@
         let Some((model, version)) = named else { return Ok(None) };
         if version > WeightVersion(0) {
             let target = Target { model, version };
-            let mut named = self.named.borrow_mut();
-            if named.last().is_none_or(|(known, _)| *known != target) {
+            if self.wanted.replace(Some(target.clone())).as_ref() != Some(&target) {
                 log::info!("event=version_wanted model={} version={version}", target.model);
-                named.push((target.clone(), self.follower.now()));
             }
             return Ok(Some(target));
         }
@@ -293,11 +291,9 @@
     /// Waits until it is this engine's turn to leave the version `loaded`.
     async fn wait_for_turn(&self, target: &Target, loaded: WeightVersion) {
         // The first later version decides: each is due by its own time.
-        let later = |(named, _): &&(Target, Duration)| {
-            named.model == target.model && named.version > loaded
-        };
-        let named = self.named.borrow().iter().find(later).map(|(_, since)| *since);
-        let Some(named) = named else { return };
+        let namings = self.follower.namings(&target.model);
+        let named = namings.iter().find(|(version, _)| *version > loaded);
+        let Some((_, named)) = named.copied() else { return };
         let start = named + self.turn();
         while self.follower.now() < start && self.is_wanted(target) {
             sleep(start.saturating_sub(self.follower.now()).min(LOOK_PERIOD)).await;
--- a/crates/egret_route/src/lib.rs
+++ b/crates/egret_route/src/lib.rs
@@ -1,6 +1,7 @@
 //! Limits, choices and retries of requests.
 //!
 //! - `refusal`: final answers to requests that are given up on.
+//! - `adaptive`: how many requests a backend server is given, by how fast it answers.
 //! - `cold`: the pace of requests to a cold backend server.
 //! - `health`: what outcomes say of a backend server.
 //! - `placement`: where a request goes, by known load.
@@ -10,6 +11,7 @@
 //! - `budget`: how many requests may be tried again.
 //! - `addresses`: which entries a caller should use.
 
+mod adaptive;
 mod addresses;
 mod budget;
 mod choice;
@@ -20,6 +22,7 @@
 mod refusal;
 mod waiting;
 
+pub use adaptive::AdaptiveBound;
 pub use addresses::{EntryAddress, EntryList, list_entries};
 pub use budget::RetryBudget;
 pub use choice::{Candidate, Hints, choose};
--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -13,7 +13,7 @@
 };
 
 use egret_fleet::{Feed, FeedCursor, Fleet, News as FleetNews, ProcessStatus, Sighting};
-use egret_record::{FastMap, View};
+use egret_record::{FastMap, View, WeightVersion};
 use futures::{StreamExt as _, stream::FuturesUnordered};
 use rand::RngExt as _;
 use tokio::{
@@ -33,6 +33,8 @@
 const ANSWER_TIME: Duration = Duration::from_millis(600);
 /// Longest wait for the first answer of an instance.
 const FIRST_TIME: Duration = Duration::from_millis(900);
+/// What the clock shows when a follower starts, so that earlier moments have a time too.
+const CLOCK_START: Duration = Duration::from_secs(24 * 3_600);
 /// Pause before all instances are asked again.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -65,6 +67,8 @@
     view: RefCell<View>,
     fleet: RefCell<Fleet>,
     cursors: RefCell<FastMap<SocketAddr, FeedCursor>>,
+    /// When versions of each model's weights were named, the oldest first.
+    namings: RefCell<FastMap<String, Vec<(WeightVersion, Duration)>>>,
     process: RefCell<Option<ProcessStatus>>,
     announce: Notify,
     news: watch::Sender<News>,
@@ -83,6 +87,7 @@
             view: RefCell::default(),
             fleet: RefCell::default(),
             cursors: RefCell::default(),
+            namings: RefCell::default(),
             process: RefCell::new(process),
             announce: Notify::new(),
             news: watch::Sender::new(News::default()),
@@ -96,6 +101,11 @@
         self.view.borrow()
     }
 
+    /// Returns when versions of a model's weights were named, the oldest first.
+    pub fn namings(&self, model: &str) -> Vec<(WeightVersion, Duration)> {
+        self.namings.borrow().get(model).cloned().unwrap_or_default()
+    }
+
     /// Returns the latest fleet.
     pub fn fleet(&self) -> Ref<'_, Fleet> {
         self.fleet.borrow()
@@ -114,7 +124,7 @@
     /// Returns the time on the clock by which the fleet's words are dated.
     #[must_use]
     pub fn now(&self) -> Duration {
-        self.start.elapsed()
+        CLOCK_START + self.start.elapsed()
     }
 
     /// Returns how long ago an instance with a leader answered, if one ever did.
@@ -226,6 +236,16 @@
                 log::info!("event=view_changed revision={} from={address}", view.revision);
             }
         }
+        for naming in answer.namings {
+            let since = now.saturating_sub(naming.age);
+            let mut namings = self.namings.borrow_mut();
+            let known = namings.entry(naming.model).or_default();
+            match known.iter_mut().find(|(version, _)| *version == naming.version) {
+                Some((_, heard)) => *heard = since.min(*heard),
+                None => known.push((naming.version, since)),
+            }
+            known.sort_unstable();
+        }
         let mut changed = false;
         let mut fleet = self.fleet.borrow_mut();
         for sighting in &answer.feed.sightings {
--- a/crates/egret_rpc/src/lib.rs
+++ b/crates/egret_rpc/src/lib.rs
@@ -25,7 +25,7 @@
 pub use follower::{Follower, FollowerSettings, News, SharedFleet, watch_once};
 pub use request::{
     CallerRequest, ClaimKey, ClaimOutcome, ClaimState, Command, DecodeError, Holder, LeaveReason,
-    MemberStatus, Operation, Packed, Query, Reply, Request, StatusReply, StoredAnswer, UnixMillis,
-    Watch, Watched, decode, encode,
+    MemberStatus, Naming, Operation, Packed, Query, Reply, Request, StatusReply, StoredAnswer,
+    UnixMillis, Watch, Watched, decode, encode,
 };
 pub use session::{Lease, Session, SharedView};
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -7,6 +7,7 @@
     fmt,
     io::{Read as _, Write as _},
     net::SocketAddr,
+    time::Duration,
 };
 
 use egret_consensus::Membership;
@@ -97,6 +98,8 @@
 pub struct Watched {
     /// What its view lacks.
     pub delta: Option<Delta>,
+    /// When versions of weights were named, if the view changed.
+    pub namings: Vec<Naming>,
     /// What its fleet lacks.
     pub feed: FeedDelta,
     /// Whether the instance has heard a leader of the cluster lately.
@@ -105,6 +108,17 @@
     pub members: Vec<SocketAddr>,
 }
 
+/// A version of a model's weights that was named, and how long ago.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Naming {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: WeightVersion,
+    /// The time since it was named.
+    pub age: Duration,
+}
+
 /// Bytes that are kept and sent compressed.
 #[derive(Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Packed(Vec<u8>);
