Pass over agents that are behind, drop unwanted versions, watch squeezed links

Cause: pieces whose tree had a squeezed or frozen agent above waited for it for good; agents went on with version 2 for seconds after version 3 was named.

--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -60,6 +60,8 @@
     pub(crate) own: Cell<u32>,
     /// How many requests of this process it is given; set when the first is placed.
     pub(crate) bound: Cell<Option<AdaptiveBound>>,
+    /// How long the last answer took to begin.
+    pub(crate) delay: Cell<Duration>,
     /// It refused a request for lack of room; it gets none until then.
     pub(crate) full_until: Cell<Duration>,
     idle: RefCell<Vec<Idle>>,
@@ -74,6 +76,7 @@
             pace: RefCell::default(),
             own: Cell::new(0),
             bound: Cell::new(None),
+            delay: Cell::new(Duration::ZERO),
             full_until: Cell::new(Duration::ZERO),
             idle: RefCell::default(),
         }
@@ -81,12 +84,20 @@
 
     /// Notes that an answer began after `delay`.
     pub(crate) fn answered(&self, delay: Duration, objective: Duration, now: Duration) {
+        self.delay.set(delay);
         if let Some(mut bound) = self.bound.get() {
             bound.answered(self.own.get(), delay, objective, now);
             self.bound.set(Some(bound));
         }
     }
 
+    /// Tells whether a request sent now may begin much later.
+    pub(crate) fn is_sluggish(&self) -> bool {
+        /// Time that a request takes at most on a link that is well, with a short queue.
+        const WELL: Duration = Duration::from_millis(600);
+        self.health.borrow().is_suspect() || self.delay.get() > WELL
+    }
+
     /// Notes that it had no room for a request.
     pub(crate) fn was_full(&self, now: Duration) {
         if let Some(mut bound) = self.bound.get() {
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -212,6 +212,13 @@
         self.tables.borrow().due_version(model, self.settings.version_grace, now)
     }
 
+    /// Returns the version of a model that will soon be the only one to answer.
+    pub(crate) fn coming_version(&self, model: &str, now: Duration) -> Option<WeightVersion> {
+        /// Longest time that a request takes to begin at an engine whose link is squeezed.
+        const AHEAD: Duration = Duration::from_millis(2_500);
+        self.tables.borrow().coming_version(model, self.settings.version_grace, AHEAD, now)
+    }
+
     fn refresh_tables(&self) {
         let next = Rc::new(self.tables.borrow().next(&self.follower));
         let version = |tables: &Tables| tables.catalog.as_ref().map(|one| one.version.0);
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -214,7 +214,11 @@
     let loaded = match &wanted.model {
         Some(model) => match (backend.version_of(model), version) {
             (Some(held), Some(strict)) => held >= strict,
-            (held, None) => held.is_some(),
+            (Some(held), None) => {
+                let coming = gateway.coming_version(model, gateway.now());
+                coming.is_none_or(|coming| held >= coming) || !backend.is_sluggish()
+            }
+            (None, None) => false,
             (None, Some(_)) => false,
         },
         None => true,
--- a/crates/egret_gateway/src/tables.rs
+++ b/crates/egret_gateway/src/tables.rs
@@ -53,6 +53,17 @@
         due.map(|(version, _)| *version).max()
     }
 
+    /// Returns the version of a model that will be due within `ahead`.
+    pub(crate) fn coming_version(
+        &self,
+        model: &str,
+        grace: Duration,
+        ahead: Duration,
+        now: Duration,
+    ) -> Option<WeightVersion> {
+        self.due_version(model, grace.saturating_sub(ahead), now)
+    }
+
     pub(crate) fn is_out(&self, data_centre: &DataCentre) -> bool {
         self.out.contains(data_centre)
     }
--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -29,7 +29,10 @@
 /// Pieces that are read back and verified at the same time.
 const VERIFY_WINDOW: usize = 4;
 /// Longest wait for a piece from another agent.
-const AGENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+const AGENT_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Answers without a piece after which an agent counts as too slow for it; each takes half a
+/// second, and a piece on its way through a tree takes about one.
+const LATER_MAX: u32 = 3;
 /// Time for which an agent that failed is passed over.
 const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
 /// Pause before the origin is asked again after a failure.
@@ -51,6 +54,21 @@
     suspects: RefCell<FastMap<SocketAddr, Instant>>,
 }
 
+/// How often agents said that they do not have one piece yet.
+#[derive(Debug, Default)]
+struct Patience(FastMap<SocketAddr, u32>);
+
+impl Patience {
+    fn later(&mut self, address: SocketAddr) {
+        *self.0.entry(address).or_default() += 1;
+    }
+
+    /// Tells whether an agent is so far behind that others are asked.
+    fn is_over(&self, address: SocketAddr) -> bool {
+        self.0.get(&address).is_some_and(|times| *times >= LATER_MAX)
+    }
+}
+
 /// What an agent said of a piece.
 enum Piece {
     /// Here it is.
@@ -120,35 +138,46 @@
         }
     }
 
-    /// Fetches all that is missing, as long as `wanted` says so.
+    /// Fetches all that is missing, until `unwanted` ends.
     pub(crate) async fn fetch_missing(
         &self,
         held: &Held,
         sources: impl Fn(u32) -> Vec<Source>,
-        wanted: impl Fn() -> bool,
+        unwanted: impl Future<Output = ()>,
     ) {
         let missing = stream::iter(held.missing());
         let fetches = missing.map(async |index| {
-            while wanted() && !held.has(index) {
-                self.fetch(held, index, sources(index)).await;
+            let mut patience = Patience::default();
+            while !held.has(index) {
+                self.fetch(held, index, &sources(index), &mut patience).await;
             }
         });
-        fetches.buffer_unordered(WINDOW).collect::<()>().await;
+        tokio::select! {
+            () = fetches.buffer_unordered(WINDOW).collect::<()>() => {}
+            () = unwanted => {}
+        }
     }
 
     /// Tries to fetch a piece once.
-    async fn fetch(&self, held: &Held, index: u32, sources: Vec<Source>) {
-        let source = self.best(&sources);
+    async fn fetch(&self, held: &Held, index: u32, sources: &[Source], patience: &mut Patience) {
+        let source = self.best(sources, patience);
         let content = match source {
             Source::Agent(address) => match self.piece_of_agent(address, held, index).await {
                 Piece::Here(content) => Some(content),
-                Piece::Later => return,
+                Piece::Later => {
+                    patience.later(address);
+                    return;
+                }
                 Piece::Never => {
                     self.suspect(address, SUSPECT_TIME);
                     return;
                 }
             },
-            Source::Origin => self.piece_of_origin(&held.target, index).await,
+            Source::Origin => {
+                // The agents may have caught up, and the origin is for everybody.
+                patience.0.clear();
+                self.piece_of_origin(&held.target, index).await
+            }
         };
         let Some(content) = content else {
             sleep(ORIGIN_PAUSE).await;
@@ -173,12 +202,16 @@
         }
     }
 
-    /// Returns the first source that has not failed lately; the origin when all have.
-    fn best(&self, sources: &[Source]) -> Source {
+    /// Returns the first source that has not failed lately and is not behind for too long;
+    /// the origin when all are.
+    fn best(&self, sources: &[Source], patience: &Patience) -> Source {
         let now = Instant::now();
         let suspects = self.suspects.borrow();
         let well = |source: &&Source| match source {
-            Source::Agent(address) => suspects.get(address).is_none_or(|until| now >= *until),
+            Source::Agent(address) => {
+                !patience.is_over(*address)
+                    && suspects.get(address).is_none_or(|until| now >= *until)
+            }
             Source::Origin => true,
         };
         sources.iter().find(well).copied().unwrap_or(Source::Origin)
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -199,6 +199,16 @@
         view.weights.get(&target.model).is_none_or(|named| *named == target.version)
     }
 
+    /// Waits until another version is wanted.
+    async fn unwanted(&self, target: &Target) {
+        let mut news = self.follower.news();
+        while self.is_wanted(target) {
+            if news.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     fn sources(&self, target: &Target, index: u32) -> Vec<Source> {
         let fleet = self.follower.fleet();
         let own = &self.settings.process;
@@ -237,7 +247,7 @@
             let started = self.follower.now();
             log::info!("event=fetch_started version={} missing={missing}", target.version);
             let sources = |index| self.sources(target, index);
-            self.fetcher.fetch_missing(&held, sources, || self.is_wanted(target)).await;
+            self.fetcher.fetch_missing(&held, sources, self.unwanted(target)).await;
             log::info!(
                 "event=fetch_ended version={} missing={} took_ms={}",
                 target.version,
