--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -14,6 +14,9 @@
 /// How long a backend server that refused for lack of room gets nothing.
 const FULL_TIME: Duration = Duration::from_millis(60);
 
+/// Longest time to connect over a link that is well.
+const SHORT_WAY: Duration = Duration::from_millis(80);
+
 /// What came of a try.
 #[derive(Debug)]
 pub(crate) enum Outcome {
@@ -55,7 +58,7 @@
             left.as_millis()
         );
     };
-    let fresh = !job.route.kind.is_repeatable();
+    let fresh = !job.route.kind.is_repeatable() || slot.expiring;
     let mut connection = match backend.connect(fresh, started).await {
         Ok(connection) => connection,
         Err(error) => {
@@ -64,6 +67,12 @@
             return Outcome::NotSent;
         }
     };
+    let connected = gateway.now() - started;
+    if slot.expiring && connected > SHORT_WAY {
+        outcome("not_sent", &format_args!("connected_ms={}", connected.as_millis()));
+        backend.health.borrow_mut().failed(Failure::Dead, gateway.now());
+        return Outcome::NotSent;
+    }
     let told = Attempt {
         instance: &id,
         left: job.deadline.saturating_sub(gateway.now()),
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -55,6 +55,8 @@
     pub(crate) backend: Rc<Backend>,
     /// The only version of weights that may answer, if others may not any more.
     pub(crate) version: Option<WeightVersion>,
+    /// Whether a request that comes late there would be answered by weights that are due to go.
+    pub(crate) expiring: bool,
     freed: Rc<Notify>,
 }
 
@@ -199,7 +201,10 @@
             status.life.seq
         );
         drop(status);
-        Ok(Slot { backend, version, freed: self.freed.clone() })
+        let expiring = wanted.model.as_ref().is_some_and(|model| {
+            gateway.coming_version(model, now) > backend.version_of(model).max(version)
+        });
+        Ok(Slot { backend, version, expiring, freed: self.freed.clone() })
     }
 }
 
--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -22,6 +22,7 @@
     holdings::{Held, Target},
     peer::NOT_FETCHING,
     sources::Source,
+    window::Window,
 };
 
 /// Pieces that are fetched at the same time.
@@ -31,8 +32,8 @@
 /// Longest wait for a piece from another agent.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Answers without a piece after which an agent counts as too slow for it; each takes half a
-/// second, and a piece on its way through a tree takes about one.
-const LATER_MAX: u32 = 3;
+/// second, and the origin's link needs under three for a whole version.
+const LATER_MAX: u32 = 6;
 /// Time for which an agent that failed is passed over.
 const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
 /// Pause before the origin is asked again after a failure.
@@ -50,6 +51,7 @@
     pub(crate) origin: Rc<O>,
     agents: Connections<peer::Client>,
     origin_permits: Semaphore,
+    window: Window,
     /// Agents that failed, with when they are asked again.
     suspects: RefCell<FastMap<SocketAddr, Instant>>,
 }
@@ -86,6 +88,7 @@
             origin: Rc::new(origin),
             agents: Connections::new(own),
             origin_permits: Semaphore::new(ORIGIN_WINDOW),
+            window: Window::default(),
             suspects: RefCell::default(),
         }
     }
@@ -238,6 +241,7 @@
     }
 
     async fn piece_of_agent(&self, address: SocketAddr, held: &Held, index: u32) -> Piece {
+        let _place = self.window.enter().await;
         let asked = timeout(AGENT_TIMEOUT, async {
             let connection = self.agents.get(address).await.map_err(|error| failed(&error))?;
             let mut call = connection.client().chunk_request();
@@ -252,7 +256,9 @@
             };
             Ok::<_, capnp::Error>(Some(piece))
         });
-        self.answer_of_agent(address, asked.await).unwrap_or(Piece::Never)
+        let asked = asked.await;
+        self.window.ended(asked.is_ok());
+        self.answer_of_agent(address, asked).unwrap_or(Piece::Never)
     }
 
     async fn list_of_agent(&self, address: SocketAddr, target: &Target) -> Option<PieceList> {
--- a/crates/egret_loader/src/lib.rs
+++ b/crates/egret_loader/src/lib.rs
@@ -11,6 +11,7 @@
 //! - `sources`: whom a piece is fetched from.
 //! - `peer`: pieces for other agents.
 //! - `fetch`: fetches what is missing.
+//! - `window`: how many pieces are fetched at once.
 //! - `loader`: from the naming of a version to the engine that serves it.
 
 mod engine;
@@ -19,7 +20,9 @@
 mod loader;
 mod peer;
 mod sources;
+mod window;
 
 pub use engine::{Engine, EngineError, EngineReport, Origin};
 pub use loader::{Loader, LoaderSettings};
 pub use sources::{Source, sources};
+pub use window::Window;
