--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -152,6 +152,20 @@
         body: Incoming,
     ) -> Result<Response<ReplyBody>, Refusal> {
         job.body = self.read_body(&job, body).await?;
+        let mut failed = None;
+        match self.try_all(job, &mut failed).await {
+            Ok(response) => Ok(response),
+            // The failure of a backend server is the answer when no other one has a better.
+            Err(refusal) => failed.ok_or(refusal),
+        }
+    }
+
+    /// Tries backend servers until one answers; a failure that was answered is kept in `failed`.
+    async fn try_all(
+        self: Rc<Self>,
+        mut job: Job,
+        failed: &mut Option<Response<ReplyBody>>,
+    ) -> Result<Response<ReplyBody>, Refusal> {
         loop {
             let slot = self.place_for(&job).await.map_err(|refusal| job.final_refusal(refusal))?;
             let id = slot.backend.status.borrow().id.clone();
@@ -180,16 +194,13 @@
             }
             match self.whole(&job, &slot, *answer).await {
                 Ok(response) => {
-                    let failed = response.status().is_server_error();
-                    if failed && job.route.kind.is_repeatable() {
-                        job.avoid.insert(id);
-                        job.runs += 1;
-                        if self.may_repeat(&job) && self.budget.borrow_mut().spend() {
-                            log_retry(&job, "error");
-                            continue;
-                        }
+                    let error = response.status().is_server_error();
+                    job.avoid.insert(id);
+                    job.runs += 1;
+                    if !error || self.repeat(&job, "error").is_err() {
+                        return Ok(response);
                     }
-                    return Ok(response);
+                    failed.replace(response);
                 }
                 Err(Cut) => {
                     slot.backend.health.borrow_mut().failed(Failure::Broken, self.now());
--- a/crates/egret_telemetry/src/program.rs
+++ b/crates/egret_telemetry/src/program.rs
@@ -9,7 +9,7 @@
 use egret_settings::{Settings, load};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::logs::start_logs;
+use crate::logs::{LogOutput, start_logs};
 
 /// Exit code when the program could not go on.
 const EXIT_FAILED: u8 = 1;
@@ -58,7 +58,7 @@
         return ExitCode::SUCCESS;
     }
     let level = matches.get_one::<String>("log-level").expect("clap has a default");
-    let _logs = match start_logs(level) {
+    let _logs = match start_logs(level, LogOutput::Output) {
         Ok(logs) => logs,
         Err(error) => return fail(&error.into(), EXIT_USAGE),
     };
--- a/crates/egretctl/src/main.rs
+++ b/crates/egretctl/src/main.rs
@@ -33,7 +33,8 @@
         return Ok(ExitCode::SUCCESS);
     }
     let level = matches.get_one::<String>("log-level").expect("clap has a default");
-    let _logs = egret_telemetry::start_logs(level).map_err(|error| Failure::usage(&error))?;
+    let _logs = egret_telemetry::start_logs(level, egret_telemetry::LogOutput::Error)
+        .map_err(|error| Failure::usage(&error))?;
     let Some((name, matches)) = matches.subcommand() else {
         return Err(Failure::usage_text("no command is given", "run `egretctl --help`"));
     };
