--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -221,6 +221,14 @@
         self.narrow.borrow().contains(engine)
     }
 
+    /// Returns the rank of a backend server for this entry, by rendezvous hashing.
+    pub(crate) fn affinity(&self, id: &str) -> u64 {
+        use std::hash::{Hash as _, Hasher as _};
+        let mut hasher = rustc_hash::FxHasher::default();
+        (self.settings.name.as_str(), id).hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Tells whether the settings forbid to serve without the control state.
     pub(crate) fn is_closed(&self) -> bool {
         let silence = self.follower.silence();
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -214,6 +214,7 @@
         let backends = gateway.backends();
         let fitting: Vec<_> =
             backends.values().filter(|backend| fits(gateway, backend, wanted, version)).collect();
+        let fitting = within_reach(gateway, fitting);
         if fitting.is_empty() {
             return Err(Lack::None);
         }
@@ -272,6 +273,27 @@
         && !gateway.is_switching(&status.address)
 }
 
+/// Keeps the backend servers near, and as many of those far away as this entry may use.
+///
+/// Pattern: a data centre is out, and its many entries turn to few engines elsewhere. One
+/// request of each would be too many for an engine, so each entry uses others of them, such
+/// that an engine has about half as many strangers as slots.
+fn within_reach<'a>(gateway: &Gateway, fitting: Vec<&'a Rc<Backend>>) -> Vec<&'a Rc<Backend>> {
+    /// Far backend servers that an entry always has, so that one may be lost.
+    const FAR_MIN: usize = 3;
+    let (mut reach, mut far): (Vec<_>, Vec<_>) =
+        fitting.into_iter().partition(|one| distance_to(gateway, one) == Distance::Near);
+    let slots: u32 = far.iter().map(|one| one.status.borrow().slots).sum();
+    let share = slots.div_ceil(gateway.entry_count() * 2);
+    let share = usize::try_from(share).unwrap_or(usize::MAX).max(FAR_MIN);
+    if far.len() > share {
+        far.sort_by_cached_key(|one| gateway.affinity(&one.status.borrow().id));
+        far.truncate(share);
+    }
+    reach.append(&mut far);
+    reach
+}
+
 /// Tells whether a backend server is well and may be sent a request now.
 fn is_open(backend: &Backend, now: Duration) -> bool {
     backend.health.borrow().is_usable(now)
--- a/crates/egretctl/src/command.rs
+++ b/crates/egretctl/src/command.rs
@@ -123,6 +123,12 @@
                         .help("Writes a plot as well"),
                 ),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Shows the path of a request through the logs of several processes")
+                .arg(Arg::new("request").required(true).help("The id of the request"))
+                .arg(file().num_args(1..).help("Logs of entries")),
+        )
         .subcommand(
             Command::new("manifest")
                 .about("Makes the manifest of weights, for the origin")
--- a/crates/egretctl/src/main.rs
+++ b/crates/egretctl/src/main.rs
@@ -6,6 +6,7 @@
 mod api;
 mod burn;
 mod command;
+mod explain;
 mod failure;
 mod local;
 mod remote;
@@ -41,6 +42,7 @@
     match name {
         "validate" => local::validate(matches),
         "manifest" => local::manifest(matches),
+        "explain" => explain::explain(matches),
         _ => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.expect("the system allows a runtime");
