Keep only what decisions use in the catalog and in heads of callers

Cause: the read of the diff found fields that nothing reads (the published cost model, connections, token counts, tries). They come back with the decision that uses them. Behaviour is unchanged: format, lints, docs and the tests of the crates concerned pass.

--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -207,7 +207,7 @@
         let service = backend.status.borrow().service.clone();
         let tables = self.tables();
         let spec = tables.catalog.as_ref().and_then(|catalog| catalog.services.get(&service));
-        let per_s = spec.map_or(0.0, |spec| spec.cold.per_s);
+        let per_s = spec.map_or(0.0, |spec| spec.cold_per_s);
         let wait = ColdPace::spacing(per_s, self.entry_count());
         let first = now + wait.mul_f64(self.random().random());
         backend.pace.borrow_mut().chill(until, first, now);
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -173,13 +173,8 @@
         }
         let request = wanted.request.clone();
         let (sender, place) = oneshot::channel();
-        let waiter = Waiter {
-            rank: wanted.rank,
-            since: now,
-            timely: wanted.timely,
-            until: wanted.until,
-            tries: u32::try_from(wanted.avoid.len()).unwrap_or(u32::MAX),
-        };
+        let waiter =
+            Waiter { rank: wanted.rank, since: now, timely: wanted.timely, until: wanted.until };
         self.waiting.borrow_mut().push(waiter, (wanted, sender));
         if !ahead {
             self.freed.notify_one();
@@ -223,7 +218,7 @@
         let places = places_of(gateway, &open, &spec);
         let Some(at) = place(&places, &mut *gateway.random()) else { return Err(Lack::Room) };
         let backend = open[at].clone();
-        backend.pace.borrow_mut().admit(spec.cold.per_s, entries, now);
+        backend.pace.borrow_mut().admit(spec.cold_per_s, entries, now);
         backend.health.borrow_mut().sent();
         backend.own.set(backend.own.get() + 1);
         let status = backend.status.borrow();
--- a/crates/egret_gateway/src/wire.rs
+++ b/crates/egret_gateway/src/wire.rs
@@ -25,10 +25,6 @@
     pub resume_after: Option<u64>,
     /// The model that shall answer it.
     pub model: Option<String>,
-    /// Tokens of the prompt.
-    pub prompt: u32,
-    /// Most tokens of the answer.
-    pub output: u32,
 }
 
 /// A head that cannot be understood.
--- a/crates/egret_record/src/catalog.rs
+++ b/crates/egret_record/src/catalog.rs
@@ -75,40 +75,11 @@
     pub homes: Vec<String>,
 }
 
-/// The bound on requests to a backend server that has just started.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-pub struct ColdBound {
-    /// How long it stays cold.
-    pub lasts: Duration,
-    /// Requests per second that it bears meanwhile.
-    pub per_s: f64,
-}
-
-/// The published cost model of a model engine.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct EngineModel {
-    /// The models that it runs.
+/// What is known of the engines of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EngineSpec {
+    /// The models that they run.
     pub models: Vec<String>,
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Layers of the model.
-    pub layers: u32,
-    /// Pieces of a version's weights.
-    pub pieces: u32,
-    /// Bytes of one piece.
-    pub piece_bytes: u32,
-    /// Time of one token step without writers.
-    pub step: Duration,
-    /// Additional time of a step for each writing request.
-    pub per_writer: Duration,
-    /// Prompt tokens that are read in a second.
-    pub read_per_s: f64,
-    /// Steps in one pass, and tokens in one event.
-    pub stride: u32,
-    /// Usual number of prompt tokens.
-    pub usual_prompt: u32,
-    /// Usual number of output tokens.
-    pub usual_output: u32,
 }
 
 /// Where weights come from first.
@@ -123,12 +94,10 @@
 pub struct ServiceSpec {
     /// Its name.
     pub name: String,
-    /// Connections that one of its backend servers accepts from everybody together.
-    pub connections: u32,
-    /// The bound while a backend server is cold.
-    pub cold: ColdBound,
-    /// The cost model, for services of model engines.
-    pub engine: Option<EngineModel>,
+    /// Requests per second that a cold backend server bears; zero means no bound.
+    pub cold_per_s: f64,
+    /// Set for services of model engines.
+    pub engine: Option<EngineSpec>,
     /// Set for the service that hands out weights.
     pub origin: Option<OriginSpec>,
 }
--- a/crates/egret_record/src/lib.rs
+++ b/crates/egret_record/src/lib.rs
@@ -32,8 +32,8 @@
 mod view;
 
 pub use catalog::{
-    CallerLimits, Catalog, CatalogError, CatalogIndex, CatalogPatch, ColdBound, EngineModel,
-    OrganisationSpec, OriginSpec, Route, RouteKind, RouteTarget, ServiceSpec,
+    CallerLimits, Catalog, CatalogError, CatalogIndex, CatalogPatch, EngineSpec, OrganisationSpec,
+    OriginSpec, Route, RouteKind, RouteTarget, ServiceSpec,
 };
 pub use digest::{ParseDigestError, VersionDigest};
 pub use name::{
--- a/crates/egret_route/src/waiting.rs
+++ b/crates/egret_route/src/waiting.rs
@@ -19,8 +19,6 @@
     pub timely: Duration,
     /// Until when it waits at all.
     pub until: Duration,
-    /// Backend servers that have refused it already.
-    pub tries: u32,
 }
 
 impl Waiter {
--- a/crates/egret_route/tests/overload.rs
+++ b/crates/egret_route/tests/overload.rs
@@ -22,8 +22,7 @@
     for number in 0..PER_S * 20 {
         let now = step * number;
         all += 1;
-        let waiter =
-            Waiter { rank: 1, since: now, timely: now + TIMELY, until: now + TIMELY, tries: 0 };
+        let waiter = Waiter { rank: 1, since: now, timely: now + TIMELY, until: now + TIMELY };
         waiting.push(waiter, number);
         busy.retain(|end| *end > now);
         while busy.len() < PLACES {
@@ -53,7 +52,6 @@
         since: Duration::from_secs(since),
         timely: Duration::from_secs(timely),
         until: Duration::from_secs(20),
-        tries: 0,
     };
     let mut waiting = Waiting::default();
     waiting.push(waiter(9, 5), "late");
