Wait for log lines in tests, which are written a moment after the event

Ruled out: the answer itself, which was right.

Change: the two tests wait for the same lines, within the limit that they use for every step. The check is as strict: without the line they still fail.

--- a/crates/egret_bench/src/deployment.rs
+++ b/crates/egret_bench/src/deployment.rs
@@ -251,6 +251,30 @@
         }
     }
 
+    /// Waits until the log of a process is as wanted; logs are written a moment after the event.
+    ///
+    /// # Errors
+    ///
+    /// Returns the log when it is not as wanted in time.
+    pub async fn wait_for_log(
+        &self,
+        name: &str,
+        limit: Duration,
+        wanted: impl Fn(&str) -> bool,
+    ) -> Result<(), String> {
+        let deadline = Instant::now() + limit;
+        loop {
+            let log = self.log(name);
+            if wanted(&log) {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                return Err(log);
+            }
+            sleep(LOOK_PERIOD).await;
+        }
+    }
+
     /// Asks a stand-in for what it counted.
     pub async fn stats(&self, address: SocketAddr) -> Value {
         let reply =
--- a/crates/egret_bench/tests/promises.rs
+++ b/crates/egret_bench/tests/promises.rs
@@ -89,7 +89,8 @@
     let own = content == whole.json()["choices"][0]["message"]["content"];
     let refused = Refusal::parse(&reply.body).is_some();
     assert!(own || refused, "{reply:?}");
-    assert!(deployment.log("runner-1").contains("event=answer_crossed"));
+    let crossed = |log: &str| log.contains("event=answer_crossed");
+    deployment.wait_for_log("runner-1", LIMIT, crossed).await.unwrap();
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -178,8 +179,9 @@
         assert!(Instant::now() < deadline, "the engine is not put right");
         sleep(Duration::from_millis(50)).await;
     }
-    let log = deployment.log("runner-1");
-    assert!(log.contains("event=wrong_version") || log.contains("event=engine_lost"), "{log}");
+    let put_right =
+        |log: &str| log.contains("event=wrong_version") || log.contains("event=engine_lost");
+    deployment.wait_for_log("runner-1", LIMIT, put_right).await.unwrap();
 }
 
 #[tokio::test(flavor = "multi_thread")]
