--- a/crates/egret_control/src/fleet_exchange.rs
+++ b/crates/egret_control/src/fleet_exchange.rs
@@ -8,7 +8,7 @@
 
 use egret_fleet::FeedCursor;
 use egret_record::{FastSet, MemberId};
-use egret_rpc::{Connections, Watch, schema::control, watch_once};
+use egret_rpc::{ANSWER_TIME, Connections, HOLD_TIME, Watch, schema::control, watch_once};
 use tokio::time::{sleep, timeout};
 
 use crate::driver::Core;
@@ -16,7 +16,7 @@
 /// Pause between two looks at the membership.
 const LOOK_PERIOD: Duration = Duration::from_millis(500);
 /// Longest wait for an answer, which may be held back while there is no news.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_300);
+const ANSWER_TIMEOUT: Duration = HOLD_TIME.saturating_add(ANSWER_TIME);
 
 /// Follows the feeds of all other control instances.
 pub(crate) async fn run(own: IpAddr, id: MemberId, core: Rc<RefCell<Core>>) {
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -10,8 +10,8 @@
 use egret_fleet::{FeedCursor, Sighting};
 use egret_record::{MemberId, Revision, SessionId};
 use egret_rpc::{
-    Command, MemberStatus, Query, Reply, Request, StatusReply, UnixMillis, Watch, Watched, decode,
-    encode, read_envelope, read_member, schema::control, write_member,
+    Command, HOLD_TIME, MemberStatus, Query, Reply, Request, StatusReply, UnixMillis, Watch,
+    Watched, decode, encode, read_envelope, read_member, schema::control, write_member,
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -127,8 +127,6 @@
 
     /// Answers a follower, at once if there is something it must learn.
     async fn watch(&self, watch: Watch) -> Watched {
-        /// Longest time that an answer without news is held back.
-        const HOLD_TIME: Duration = Duration::from_millis(700);
         if let Some(process) = watch.process {
             self.core.borrow_mut().observe(&Sighting::Process(process));
         }
--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -28,9 +28,9 @@
 };
 
 /// Longest time that an instance holds back an answer without news.
-const HOLD_TIME: Duration = Duration::from_millis(700);
+pub const HOLD_TIME: Duration = Duration::from_millis(700);
 /// Longest time beyond that until an answer is taken for lost.
-const ANSWER_TIME: Duration = Duration::from_millis(600);
+pub const ANSWER_TIME: Duration = Duration::from_millis(600);
 /// Longest wait for the first answer of an instance.
 const FIRST_TIME: Duration = Duration::from_millis(900);
 /// What the clock shows when a follower starts, so that earlier moments have a time too.
--- a/crates/egret_rpc/src/lib.rs
+++ b/crates/egret_rpc/src/lib.rs
@@ -22,7 +22,9 @@
 pub use connection::{Connection, Connections, listen};
 pub use convert::{read_envelope, read_member, write_envelope, write_member};
 pub use egret_schema::egret_capnp as schema;
-pub use follower::{Follower, FollowerSettings, News, SharedFleet, watch_once};
+pub use follower::{
+    ANSWER_TIME, Follower, FollowerSettings, HOLD_TIME, News, SharedFleet, watch_once,
+};
 pub use request::{
     CallerRequest, ClaimKey, ClaimOutcome, ClaimState, Command, DecodeError, Holder, LeaveReason,
     MemberStatus, Naming, Operation, Packed, Query, Reply, Request, StatusReply, StoredAnswer,
