Count a lease from the try that was answered

Session::follow counted a lease from before the poll's first try, and a poll that spans a change of leader makes several tries, each up to 0.8 s long; with a lease of 1.5 s the lease that came with the answer was nearly or quite over. Ruled out: the order of view and lease (both are set without a pause between them), polls that are held too long (a third of the lease). Change: each try notes when it was sent, and the lease counts from there. It is as safe: the control instance counts from its reply to that same try. Before: tests/session.rs fails (a control instance that answers only the second poll). After: it passes, and both tests of restart.rs pass. Conclusion: a change of leader no longer costs leases that were renewed after it.

--- a/crates/egret_rpc/src/client.rs
+++ b/crates/egret_rpc/src/client.rs
@@ -46,7 +46,11 @@
 /// What a poll brought.
 #[derive(Debug)]
 pub(crate) enum Poll {
-    Delta { delta: Delta, lease: Duration },
+    /// Changes, and the end of the lease that goes with them.
+    Delta {
+        delta: Delta,
+        until: Instant,
+    },
     SessionGone,
 }
 
@@ -150,6 +154,8 @@
         deadline: Instant,
     ) -> Result<Poll, CallError> {
         self.until(deadline, async |client| {
+            // Each try asks for a lease of its own: the instance counts it from when that try arrived.
+            let sent = Instant::now();
             let mut call = client.poll_request();
             call.get().set_session(session.0);
             call.get().set_confirmed(confirmed.0);
@@ -158,7 +164,7 @@
             let lease = Duration::from_millis(result.get_lease_millis());
             Ok(match result.which()? {
                 schema::poll_result::Delta(delta) => match decode(delta?) {
-                    Ok(delta) => Attempt::Done(Poll::Delta { delta, lease }),
+                    Ok(delta) => Attempt::Done(Poll::Delta { delta, until: sent + lease }),
                     Err(_) => Attempt::Failed,
                 },
                 schema::poll_result::NotLeader(address) => not_leader(address?)?,
--- a/crates/egret_rpc/src/session.rs
+++ b/crates/egret_rpc/src/session.rs
@@ -1,7 +1,7 @@
 //! The session of an entry or agent, with its lease and view.
 //!
 //! A holder may act on its view while its lease lasts. The lease is counted
-//! from when the poll was sent, the leader counts it from when it replied, so
+//! from when the answered try was sent, the leader counts it from when it replied, so
 //! the holder's ends first.
 
 use std::{
@@ -147,9 +147,8 @@
     async fn follow(&self, id: SessionId) {
         let mut confirmed = Revision(0);
         loop {
-            let sent = Instant::now();
-            match self.client.poll(id, confirmed, sent + POLL_TIMEOUT).await {
-                Ok(Poll::Delta { delta, lease }) => {
+            match self.client.poll(id, confirmed, Instant::now() + POLL_TIMEOUT).await {
+                Ok(Poll::Delta { delta, until }) => {
                     let before = self.view.get();
                     let mut view = (*before).clone();
                     if let Err(error) = view.apply(delta) {
@@ -163,7 +162,7 @@
                         self.revision.send_replace(confirmed);
                     }
                     // A view that was just read is in force here before the lease on it is.
-                    self.lease.extend(sent + lease);
+                    self.lease.extend(until);
                 }
                 Ok(Poll::SessionGone) => return,
                 Err(_) => log::warn!("event=control_unreachable session={id}"),
