Choose between claimed and direct requests where callers are answered

Cause: claim and dispatch of egret_entry imported each other; dispatch chose by the kind of a request whether to claim it, and a claim sends through dispatch. Change: the choice stands in caller_api, above both.

--- a/crates/egret_entry/src/caller_api.rs
+++ b/crates/egret_entry/src/caller_api.rs
@@ -11,9 +11,10 @@
 use viz::{Body, Request, RequestExt as _, Response, Router};
 
 use crate::{
-    call::{Call, Parts},
-    dispatch::Dispatch,
-    forward::{AnswerBody, stream_body},
+    call::{Call, Kind, Parts},
+    claim,
+    dispatch::{Dispatch, Sent},
+    forward::{Answer, AnswerBody, stream_body},
 };
 
 /// The interface for callers.
@@ -89,8 +90,7 @@
     async fn serve(
         &self,
         mut req: Request,
-    ) -> Result<(Response, Option<(hyper::body::Incoming, Option<crate::dispatch::Sent>)>), Refusal>
-    {
+    ) -> Result<(Response, Option<(hyper::body::Incoming, Option<Sent>)>), Refusal> {
         let started = Instant::now();
         let deadline = started + self.dispatch.deadline;
         let view = self.dispatch.view.get();
@@ -106,7 +106,7 @@
             body,
         };
         let call = Call::new(parts, &view)?;
-        let result = self.dispatch.answer(&call, deadline).await;
+        let result = self.answer(&call, deadline).await;
         self.count(&call, result.is_ok(), started);
         let (answer, sent) = result?;
         let (body, stream) = match answer.body {
@@ -126,6 +126,24 @@
         Ok((response, stream))
     }
 
+    /// Answers a request; one that may run at most once is claimed before.
+    async fn answer(
+        &self,
+        call: &Call,
+        deadline: Instant,
+    ) -> Result<(Answer, Option<Sent>), Refusal> {
+        match &call.kind {
+            Kind::Once(key) => {
+                let answer = claim::run_once(&self.dispatch, call, key, deadline).await?;
+                Ok((answer, None))
+            }
+            Kind::Idempotent | Kind::Careful => {
+                let (answer, sent) = self.dispatch.run(call, deadline).await?;
+                Ok((answer, Some(sent)))
+            }
+        }
+    }
+
     fn count(&self, call: &Call, answered: bool, started: Instant) {
         let took = started.elapsed();
         let record = &call.record;
--- a/crates/egret_entry/src/dispatch.rs
+++ b/crates/egret_entry/src/dispatch.rs
@@ -22,7 +22,6 @@
 use crate::{
     burn::Burn,
     call::{Call, Kind},
-    claim,
     forward::{Answer, Tried, forward},
 };
 
@@ -169,24 +168,6 @@
         Ok(())
     }
 
-    /// Answers a request, or gives up on it at once when trying on is no use.
-    pub(crate) async fn answer(
-        self: &Arc<Self>,
-        call: &Call,
-        deadline: Instant,
-    ) -> Result<(Answer, Option<Sent>), Refusal> {
-        match &call.kind {
-            Kind::Once(key) => {
-                let answer = claim::run_once(self, call, key, deadline).await?;
-                Ok((answer, None))
-            }
-            Kind::Idempotent | Kind::Careful => {
-                let (answer, sent) = self.run(call, deadline).await?;
-                Ok((answer, Some(sent)))
-            }
-        }
-    }
-
     /// Sends a request to backend servers until one answers.
     ///
     /// # Errors
