Give holders time to find a new leader before their sessions end

Cause: beside load, two_hundred_watchers_come_back_after_the_leader_is_killed failed in 1 of 5 runs beside a release build and in 2 of 6 beside 14 busy processes: 17 leases lapsed, 14 of those sessions gone. A new leader ended each session that it had not heard one lease (1.5 s) after its election. A holder needs a try at the dead leader, pauses, and often one at an instance that does not know the new leader; beside load that took longer, the session was ended, and the holder joined anew 0.3 s later. Ruled out: processor load alone (24 busy processes: 16 of 16 runs pass with and without the change). The failing runs took 8 to 17 s instead of 3 and followed builds, whose writes stall the sync of the control state's log; no log of the instances was kept, so that part is not shown. Change: sessions that a new leader has not heard end 2 s later; the leases of the earlier leader still end on time, so nothing comes into force later. Conclusion: a change of leader ends no session that is only looking for it.

--- a/crates/egret_control/src/holders.rs
+++ b/crates/egret_control/src/holders.rs
@@ -4,6 +4,11 @@
 
 use egret_record::{Revision, SessionId};
 
+/// Time that a holder may take to find a new leader, beyond its lease.
+///
+/// It covers one try at a frozen leader and one at an instance that does not know the new one.
+const FIND_TIME: Duration = Duration::from_secs(2);
+
 /// What the leader knows of one holder.
 #[derive(Debug, Clone, Copy)]
 struct HolderLease {
@@ -54,6 +59,9 @@
     }
 
     /// Returns the sessions whose lease has ended.
+    ///
+    /// One that this leader has not heard yet gets the time to find it. Nothing waits for that:
+    /// the lease from an earlier leader ends in any case.
     pub fn expired(
         &self,
         sessions: impl Iterator<Item = SessionId>,
@@ -61,7 +69,7 @@
     ) -> Vec<SessionId> {
         let ended = |session: &SessionId| match self.leases.get(session) {
             Some(lease) => now >= lease.until,
-            None => now >= self.inherited_until,
+            None => now >= self.inherited_until + FIND_TIME,
         };
         sessions.filter(ended).collect()
     }
