Widen the window of pieces only while they come soon

The window began at 16 pieces of 24 KB, 3.4 s of such a link, and halved only when a piece took 1.3 s; requests to the engine waited behind it: sent at 24.4 s, they reached it at 27.8 s and began after the old version was due. Ruled out: entries that ignore the due time (they sent 3.7 s before it); slow engines (idle when the request arrived). Change: the window begins at 4, grows by half a piece for each that comes within 350 ms, halves for each that takes over 900 ms; an agent calls its link narrow once the window is smaller than at first. Conclusion: a squeezed link holds half a second of pieces before requests.

--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -242,6 +242,7 @@
 
     async fn piece_of_agent(&self, address: SocketAddr, held: &Held, index: u32) -> Piece {
         let _place = self.window.enter().await;
+        let began = Instant::now();
         let asked = timeout(AGENT_TIMEOUT, async {
             let connection = self.agents.get(address).await.map_err(|error| failed(&error))?;
             let mut call = connection.client().chunk_request();
@@ -257,7 +258,7 @@
             Ok::<_, capnp::Error>(Some(piece))
         });
         let asked = asked.await;
-        self.window.ended(asked.is_ok());
+        self.window.ended(began.elapsed());
         self.answer_of_agent(address, asked).unwrap_or(Piece::Never)
     }
 
--- a/crates/egret_loader/src/window.rs
+++ b/crates/egret_loader/src/window.rs
@@ -1,33 +1,40 @@
 //! How many pieces are fetched at once.
 //!
 //! The engine's requests come over the same link. Where the link is narrow, many
-//! pieces at once would queue before them for seconds, so the window halves when
-//! a piece does not come in time and widens while they do.
+//! pieces at once would queue before them for seconds, so the window begins small,
+//! widens while pieces come soon, and halves when one takes long.
 
-use std::cell::Cell;
+use std::{cell::Cell, time::Duration};
 
 use tokio::sync::Notify;
 
 /// Largest window.
 const WINDOW_MAX: f64 = 16.0;
+/// First window: half a second of a link that carries a tenth of the usual megabits.
+const WINDOW_FIRST: f64 = 4.0;
 /// Smallest window: one piece on its way while the next is asked for.
 const WINDOW_MIN: f64 = 2.0;
-/// Growth of the window with each piece that comes in time.
-const GROWTH: f64 = 0.25;
+/// Growth of the window with each piece that comes soon.
+const GROWTH: f64 = 0.5;
+/// Time within which a piece comes soon; the other agent may have waited for it meanwhile.
+const SOON: Duration = Duration::from_millis(350);
+/// Time after which a piece took long: more than another agent waits for it, and some more.
+const LONG: Duration = Duration::from_millis(900);
 
 /// Bounds the pieces that are fetched at once.
 ///
 /// ```
+/// use std::time::Duration;
 /// use egret_loader::Window;
 ///
 /// let window = Window::default();
-/// assert_eq!(window.size(), 16);
-/// for _ in 0..9 {
-///     window.ended(false);
-/// }
-/// assert_eq!(window.size(), 2);
-/// window.ended(true);
+/// assert_eq!(window.size(), 4);
+/// window.ended(Duration::from_millis(40));
+/// window.ended(Duration::from_millis(40));
+/// assert_eq!(window.size(), 5);
+/// window.ended(Duration::from_secs(1));
 /// assert_eq!(window.size(), 2);
+/// assert!(window.is_narrow());
 /// ```
 #[derive(Debug)]
 pub struct Window {
@@ -49,7 +56,7 @@
 
 impl Default for Window {
     fn default() -> Self {
-        Self { size: Cell::new(WINDOW_MAX), inside: Cell::new(0), left: Notify::new() }
+        Self { size: Cell::new(WINDOW_FIRST), inside: Cell::new(0), left: Notify::new() }
     }
 }
 
@@ -70,13 +77,17 @@
     /// Tells whether pieces came too late lately.
     #[must_use]
     pub fn is_narrow(&self) -> bool {
-        self.size.get() < WINDOW_MAX / 2.0
+        self.size.get() < WINDOW_FIRST
     }
 
-    /// Notes that a fetch ended; `timely` tells whether there was an answer in time.
-    pub fn ended(&self, timely: bool) {
+    /// Notes how long a fetch took, whatever came of it.
+    pub fn ended(&self, took: Duration) {
         let size = self.size.get();
-        let size = if timely { size + GROWTH } else { size / 2.0 };
+        let size = match took {
+            _ if took < SOON => size + GROWTH,
+            _ if took > LONG => size / 2.0,
+            _ => size,
+        };
         self.size.set(size.clamp(WINDOW_MIN, WINDOW_MAX));
     }
 
