Call a control instance fresh only while it has all that is committed

It counted as fresh, since it had heard a leader lately. An entry that asked it followed it, and served by version 40 of the catalog until 37.5 s, 6 s after version 41 was acknowledged. Ruled out: a leader without a quorum that goes on (it steps down after two election times), the entry (it leaves an instance that is not fresh). Change: Node::caught_up tells when the log last had all that the leader had committed, and freshness counts from there. Reads were confirmed by a quorum already, and were refused there meanwhile. Conclusion: who follows an instance learns what was acknowledged, or leaves it.

--- a/crates/egret_consensus/src/node.rs
+++ b/crates/egret_consensus/src/node.rs
@@ -153,6 +153,8 @@
     pub(crate) commit: Index,
     pub(crate) applied: Index,
     pub(crate) stable: Index,
+    /// When the log last had all that the leader had committed.
+    pub(crate) caught_up: Option<Duration>,
     /// When the leader was heard last, or the member started.
     pub(crate) heard: Duration,
     pub(crate) election_at: Duration,
@@ -191,6 +193,7 @@
             leader: None,
             commit: applied,
             applied,
+            caught_up: None,
             heard: now,
             election_at: now,
             heartbeat_at: now,
@@ -408,6 +411,17 @@
         }
     }
 
+    /// Returns when this member last had all that its leader had committed.
+    ///
+    /// One that hears its leader may yet lack entries, if its own answers are lost.
+    #[must_use]
+    pub fn caught_up(&self, now: Duration) -> Option<Duration> {
+        match self.role {
+            Role::Leader => self.quorum_acked(now),
+            _ => self.leader.and(self.caught_up),
+        }
+    }
+
     /// Returns the voters that have not answered this leader for `limit`.
     #[must_use]
     pub fn silent_voters(&self, limit: Duration, now: Duration) -> Vec<MemberId> {
--- a/crates/egret_consensus/src/replication.rs
+++ b/crates/egret_consensus/src/replication.rs
@@ -126,6 +126,9 @@
             }
         }
         self.commit = self.commit.max(append.commit.min(matched));
+        if self.commit >= append.commit {
+            self.caught_up = Some(now);
+        }
         self.reply(from, true, matched, append.sent);
     }
 
--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -143,11 +143,12 @@
         self.node.leader_heard(now).map(|heard| now.saturating_sub(heard))
     }
 
-    /// Tells whether this member has heard a leader lately.
+    /// Tells whether this member lately had all that its leader has committed.
     pub(crate) fn is_fresh(&self) -> bool {
-        /// Time without a leader in which changes may be missed.
+        /// Time without word of a leader in which changes may be missed.
         const STALE_TIME: Duration = Duration::from_millis(1_200);
-        self.leader_silence().is_some_and(|silence| silence < STALE_TIME)
+        let now = self.now();
+        self.node.caught_up(now).is_some_and(|since| now < since + STALE_TIME)
     }
 
     /// Returns how long ago versions of weights were named.
