Let a new member answer a leader that is no seed

What the leader said of itself was dropped. With a leader that is no seed the new member had no address to answer to: it heard heartbeats, got no entry and never became a voter. Change: introduce() returns what the leader said as well.

--- a/crates/egret_bench/tests/restart.rs
+++ b/crates/egret_bench/tests/restart.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use egret_bench::{
-    control::{start, status},
+    control::{leader, repair_lost, start, status},
     network::Delays,
 };
 use egret_record::{DataCentre, EntryName, OperationId, Revision};
@@ -57,6 +57,30 @@
         .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_disk_is_filled_from_a_snapshot_of_a_leader_that_had_restarted() {
+    LocalSet::new()
+        .run_until(async {
+            let mut deployment = start(3, Delays::default(), "snapshot_entries: 20\n").unwrap();
+            let addresses: Vec<SocketAddr> = deployment.controls.values().copied().collect();
+            let client = ControlClient::new([127, 0, 0, 1].into(), addresses);
+            for number in 0..100 {
+                change(&client, number).await;
+            }
+            let names: Vec<_> = deployment.controls.keys().cloned().collect();
+            for name in &names {
+                deployment.kill(name);
+                deployment.restart(name).unwrap();
+                change(&client, 100).await;
+            }
+            let leads = leader(&client).await.unwrap();
+            let victim = names.iter().find(|name| **name != leads).unwrap();
+            repair_lost(&mut deployment, &client, victim).await.unwrap();
+            change(&client, 101).await;
+        })
+        .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn two_hundred_watchers_come_back_after_the_leader_is_killed() {
     const WATCHERS: usize = 200;
--- a/crates/egret_control/src/bootstrap.rs
+++ b/crates/egret_control/src/bootstrap.rs
@@ -128,25 +128,28 @@
     let others = addresses.into_iter().filter(|address| *address != settings.address());
     let asked = others.map(async |address| {
         let said = timeout(HELLO_TIMEOUT, introduce(settings, own, address)).await;
-        said.ok().and_then(Result::ok).map(|said| (address, said))
+        said.ok().and_then(Result::ok).unwrap_or_default()
     });
     futures::future::join_all(asked).await.into_iter().flatten().collect()
 }
 
+/// Introduces this instance to the one at `address`, and to the leader that it names.
+///
+/// Returns what they said: this instance needs the address of a leader that it answers.
 async fn introduce(
     settings: &ControlSettings,
     own: MemberId,
     address: SocketAddr,
-) -> capnp::Result<Introduction> {
+) -> capnp::Result<Vec<(SocketAddr, Introduction)>> {
     let connection: Connection<control::Client> =
         Connection::open(settings.listen.ip(), address).await?;
-    let said = hello(settings, own, &connection).await?;
-    if said.cluster.is_some()
+    let mut said = vec![(address, hello(settings, own, &connection).await?)];
+    if said[0].1.cluster.is_some()
         && let Some(leader) = leader_of(&connection).await?.filter(|leader| *leader != address)
     {
         // Only the leader can add this instance, and it may be none of those listed.
         let connection = Connection::open(settings.listen.ip(), leader).await?;
-        hello(settings, own, &connection).await?;
+        said.push((leader, hello(settings, own, &connection).await?));
     }
     Ok(said)
 }
