End requests that wait at an engine before its weights are due

Entries send nothing 1.2 s before, and wait for an answer as long as patience says. Ruled out: the link (it was there 17 ms after it was sent). Change: a place tells when the weights there expire; the wait for an answer ends 0.3 s before, as 'expired', and says nothing on the engine's health. The margin of 1.2 s stands in the gateway now, beside that of 3.7 s for squeezed links. Conclusion: a busy engine answers nothing with weights that are due.

--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -17,6 +17,9 @@
 /// Longest time to connect over a link that is well.
 const SHORT_WAY: Duration = Duration::from_millis(80);
 
+/// Time that a cancelled request takes to be gone at an engine, and by which namings are dated late.
+const CANCEL_TIME: Duration = Duration::from_millis(300);
+
 /// What came of a try.
 #[derive(Debug)]
 pub(crate) enum Outcome {
@@ -58,7 +61,7 @@
             left.as_millis()
         );
     };
-    let fresh = !job.route.kind.is_repeatable() || slot.expiring;
+    let fresh = !job.route.kind.is_repeatable() || slot.expires.is_some();
     let mut connection = match backend.connect(fresh, started).await {
         Ok(connection) => connection,
         Err(error) => {
@@ -68,7 +71,7 @@
         }
     };
     let connected = gateway.now() - started;
-    if slot.expiring && connected > SHORT_WAY {
+    if slot.expires.is_some() && connected > SHORT_WAY {
         outcome("not_sent", &format_args!("connected_ms={}", connected.as_millis()));
         backend.health.borrow_mut().failed(Failure::Dead, gateway.now());
         return Outcome::NotSent;
@@ -81,7 +84,9 @@
         resume_after: job.last_event.or(job.call.resume_after),
     };
     let request = gateway.wire.backend_request(&job.head, &job.body, &told);
-    let response = timeout(patience.min(left), connection.sender.send_request(request)).await;
+    let last = slot.expires.map(|due| due.saturating_sub(gateway.now() + CANCEL_TIME));
+    let wait = last.unwrap_or(Duration::MAX).min(patience).min(left);
+    let response = timeout(wait, connection.sender.send_request(request)).await;
     let response = match response {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -92,6 +97,12 @@
             backend.health.borrow_mut().failed(failure, gateway.now());
             return Outcome::Broken;
         }
+        Err(_) if Some(wait) == last => {
+            // It waits at the engine; begun later, it would be answered by the old weights.
+            outcome("expired", &format_args!("reused={}", connection.reused));
+            backend.health.borrow_mut().undecided();
+            return Outcome::Broken;
+        }
         Err(_) => {
             outcome("silent", &format_args!("reused={}", connection.reused));
             backend.forget_idle();
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -18,6 +18,11 @@
 /// Most entries that a caller is told of.
 const ENTRIES_TOLD: usize = 64;
 
+/// Longest time that a request takes to begin at a busy engine, from when a place was found.
+const BEGIN_TIME: Duration = Duration::from_millis(1_200);
+/// The same at an engine whose link is squeezed.
+const SLOW_BEGIN_TIME: Duration = Duration::from_millis(3_700);
+
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -242,14 +247,25 @@
 
     /// Returns the version of a model that alone may answer, if others may not any more.
     pub(crate) fn strict_version(&self, model: &str, now: Duration) -> Option<WeightVersion> {
-        self.tables.borrow().due_version(model, self.settings.version_grace, now)
+        let grace = self.settings.version_grace.saturating_sub(BEGIN_TIME);
+        self.tables.borrow().due_version(model, grace, now)
     }
 
     /// Returns the version of a model that will soon be the only one to answer.
     pub(crate) fn coming_version(&self, model: &str, now: Duration) -> Option<WeightVersion> {
-        /// Longest time that a request takes to begin at an engine whose link is squeezed.
-        const AHEAD: Duration = Duration::from_millis(2_500);
-        self.tables.borrow().coming_version(model, self.settings.version_grace, AHEAD, now)
+        let grace = self.settings.version_grace;
+        self.tables.borrow().coming_version(model, grace, SLOW_BEGIN_TIME, now)
+    }
+
+    /// Returns when the version that an engine holds may not begin an answer any more, if soon.
+    pub(crate) fn expires(
+        &self,
+        model: &str,
+        held: Option<WeightVersion>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let due = self.tables.borrow().next_due(model, self.settings.version_grace, held)?;
+        (due <= now + SLOW_BEGIN_TIME).then_some(due)
     }
 
     fn refresh_tables(&self) {
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -49,8 +49,8 @@
     pub(crate) backend: Rc<Backend>,
     /// The only version of weights that may answer, if others may not any more.
     pub(crate) version: Option<WeightVersion>,
-    /// Whether a request that comes late there would be answered by weights that are due to go.
-    pub(crate) expiring: bool,
+    /// When its weights may not begin an answer any more, if that is soon.
+    pub(crate) expires: Option<Duration>,
     freed: Rc<Notify>,
 }
 
@@ -231,10 +231,11 @@
             status.life.seq
         );
         drop(status);
-        let expiring = wanted.model.as_ref().is_some_and(|model| {
-            gateway.coming_version(model, now) > backend.version_of(model).max(version)
-        });
-        Ok(Slot { backend, version, expiring, freed: self.freed.clone() })
+        let expires = wanted
+            .model
+            .as_ref()
+            .and_then(|model| gateway.expires(model, backend.version_of(model).max(version), now));
+        Ok(Slot { backend, version, expires, freed: self.freed.clone() })
     }
 }
 
--- a/crates/egret_gateway/src/tables.rs
+++ b/crates/egret_gateway/src/tables.rs
@@ -64,6 +64,17 @@
         self.due_version(model, grace.saturating_sub(ahead), now)
     }
 
+    /// Returns when the first version of a model after `held` is due.
+    pub(crate) fn next_due(
+        &self,
+        model: &str,
+        grace: Duration,
+        held: Option<WeightVersion>,
+    ) -> Option<Duration> {
+        let later = self.named.get(model)?.iter().filter(|(version, _)| Some(*version) > held);
+        later.map(|(_, since)| *since + grace).min()
+    }
+
     pub(crate) fn is_out(&self, data_centre: &DataCentre) -> bool {
         self.out.contains(data_centre)
     }
