Look for a control instance one after another

A follower that looks for one asked all nine at once; each answer holds the whole fleet, and together they fill such a link for longer than the 0.9 s that an answer was waited for. The same bytes held up requests to the engine: two reached it 3.3 s after they were sent, after its weights were due. Ruled out: pieces (the agent had stopped fetching), control instances that were away (others followed them meanwhile). Change: they are asked in a random order, each 0.2 s after the last, and an answer may take 1.5 s.

--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -15,7 +15,7 @@
 use egret_fleet::{Feed, FeedCursor, Fleet, News as FleetNews, ProcessStatus, Sighting};
 use egret_record::{FastMap, View, WeightVersion};
 use futures::{StreamExt as _, stream::FuturesUnordered};
-use rand::RngExt as _;
+use rand::{RngExt as _, seq::SliceRandom as _};
 use tokio::{
     sync::{Notify, watch},
     time::{Instant, sleep, timeout},
@@ -31,8 +31,11 @@
 pub const HOLD_TIME: Duration = Duration::from_millis(700);
 /// Longest time beyond that until an answer is taken for lost.
 pub const ANSWER_TIME: Duration = Duration::from_millis(600);
-/// Longest wait for the first answer of an instance.
-const FIRST_TIME: Duration = Duration::from_millis(900);
+/// Longest wait for the first answer of an instance: some thirty kilobytes of fleet, on a link
+/// that carries a tenth of the usual megabits beside other bytes.
+const FIRST_TIME: Duration = Duration::from_millis(1_500);
+/// Time after which the next instance is asked as well.
+const NEXT_TIME: Duration = Duration::from_millis(200);
 /// What the clock shows when a follower starts, so that earlier moments have a time too.
 const CLOCK_START: Duration = Duration::from_secs(24 * 3_600);
 /// Pause before all instances are asked again.
@@ -160,15 +163,20 @@
         }
     }
 
-    /// Asks all known instances and returns the first that is well.
+    /// Asks the known instances, each a while after the last, and returns the first that is well.
     async fn find(&self) -> Option<SocketAddr> {
         let mut known = self.settings.borrow().seeds.clone();
         known.extend(self.members.borrow().iter());
         known.sort_unstable();
         known.dedup();
-        let mut asked: FuturesUnordered<_> = known
-            .into_iter()
-            .map(async |address| (address, self.ask(address, true, FIRST_TIME).await))
+        known.shuffle(&mut rand::rng());
+        let mut asked: FuturesUnordered<_> = (0_u32..)
+            .zip(known)
+            .map(async |(turn, address)| {
+                // Each answer holds the whole fleet; all at once would fill a narrow link.
+                sleep(NEXT_TIME * turn).await;
+                (address, self.ask(address, true, FIRST_TIME).await)
+            })
             .collect();
         while let Some((address, answer)) = asked.next().await {
             let Some(answer) = answer else { continue };
