Fetch first what only this agent brings from the origin

Others were passed over for 1.5 s when they had not heard of the version yet, 144 times in the first second. Change: pieces whose first source is the origin come first; an agent that does not know a version yet is passed over for 0.3 s. Logged: agents that are behind or passed over for a piece. Test: pieces_that_others_wait_for_come_first.

--- a/crates/egret_http/src/client.rs
+++ b/crates/egret_http/src/client.rs
@@ -17,6 +17,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which an unused connection is kept.
 const IDLE_TIME: Duration = Duration::from_secs(5);
+/// The same where the other side serves few connections: longer than between two requests in a
+/// row.
+const BRIEF_TIME: Duration = Duration::from_millis(250);
 
 /// Why a request got no response.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -50,7 +53,7 @@
     /// Makes a client that keeps connections for later requests.
     #[must_use]
     pub fn pooled(own: Option<IpAddr>) -> Self {
-        Self::new(own, usize::MAX)
+        Self::new(own, usize::MAX, IDLE_TIME)
     }
 
     /// Makes a client that opens a connection for each request.
@@ -59,17 +62,25 @@
     /// on it, and nobody knows then whether it ran.
     #[must_use]
     pub fn fresh(own: Option<IpAddr>) -> Self {
-        Self::new(own, 0)
+        Self::new(own, 0, IDLE_TIME)
     }
 
-    fn new(own: Option<IpAddr>, idle: usize) -> Self {
+    /// Makes a client that keeps a connection only for requests that soon follow.
+    ///
+    /// For a server that many clients share and that serves few connections.
+    #[must_use]
+    pub fn brief(own: Option<IpAddr>) -> Self {
+        Self::new(own, 1, BRIEF_TIME)
+    }
+
+    fn new(own: Option<IpAddr>, idle: usize, idle_time: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         connector.set_local_address(own);
         let client = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(idle)
-            .pool_idle_timeout(IDLE_TIME)
+            .pool_idle_timeout(idle_time)
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
             .build(connector);
--- /dev/null
+++ b/crates/egret_http/tests/client.rs
@@ -0,0 +1,54 @@
+//! Connections that a client keeps.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use egret_http::{HttpClient, read_whole};
+use http::Request;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
+
+/// Serves whoever connects; returns its address and how many connections are open.
+async fn server() -> (std::net::SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let open = Arc::new(AtomicUsize::new(0));
+    let count = open.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = count.clone();
+            count.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(async move {
+                let mut read = [0_u8; 4_096];
+                while stream.read(&mut read).await.is_ok_and(|bytes| bytes > 0) {
+                    let _ =
+                        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+                }
+                count.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    });
+    (address, open)
+}
+
+#[tokio::test]
+async fn client_of_a_crowded_server_frees_its_connection_soon() {
+    // Pattern: 54 agents fetch from an origin that serves 48 connections.
+    let (address, open) = server().await;
+    let client = HttpClient::brief(None);
+    for _ in 0..3 {
+        let request = Request::get(format!("http://{address}/")).body(Default::default());
+        let answer = client.send(request.expect("a request")).await.expect("an answer");
+        read_whole(answer.into_body(), 10).await.expect("a body");
+        assert_eq!(open.load(Ordering::SeqCst), 1, "one connection serves all of them");
+    }
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(open.load(Ordering::SeqCst), 0, "nobody else could use it");
+}
--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -21,7 +21,7 @@
     engine::{Engine, EngineError, Origin},
     holdings::{Held, Target},
     peer::NOT_FETCHING,
-    sources::Source,
+    sources::{Source, fetch_order},
     window::Window,
 };
 
@@ -36,6 +36,8 @@
 const LATER_MAX: u32 = 6;
 /// Time for which an agent that failed is passed over.
 const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which an agent that does not know the version is passed over; it may learn of it.
+const UNKNOWN_TIME: Duration = Duration::from_millis(300);
 /// Pause before the origin is asked again after a failure.
 const ORIGIN_PAUSE: Duration = Duration::from_millis(150);
 /// Pieces that one agent asks of the origin at once, which limits its connections.
@@ -77,7 +79,9 @@
     Here(Bytes),
     /// It has none yet.
     Later,
-    /// It does not fetch the version, or cannot be reached.
+    /// It does not fetch the version, or has not heard of it yet.
+    Unknown,
+    /// It cannot be reached.
     Never,
 }
 
@@ -148,7 +152,7 @@
         sources: impl Fn(u32) -> Vec<Source>,
         unwanted: impl Future<Output = ()>,
     ) {
-        let missing = stream::iter(held.missing());
+        let missing = stream::iter(fetch_order(held.missing(), &sources));
         let fetches = missing.map(async |index| {
             let mut patience = Patience::default();
             while !held.has(index) {
@@ -169,12 +173,20 @@
                 Piece::Here(content) => Some(content),
                 Piece::Later => {
                     patience.later(address);
+                    if patience.is_over(address) {
+                        log::info!("event=agent_behind piece={index} agent={address}");
+                    }
                     return;
                 }
                 Piece::Never => {
+                    log::info!("event=agent_passed_over piece={index} agent={address}");
                     self.suspect(address, SUSPECT_TIME);
                     return;
                 }
+                Piece::Unknown => {
+                    self.suspect(address, UNKNOWN_TIME);
+                    return;
+                }
             },
             Source::Origin => {
                 // The agents may have caught up, and the origin is for everybody.
@@ -252,7 +264,7 @@
             let answer = answer.get()?;
             let piece = match answer.get_found() {
                 true => Piece::Here(Bytes::copy_from_slice(answer.get_content()?)),
-                false if answer.get_progress() == NOT_FETCHING => Piece::Never,
+                false if answer.get_progress() == NOT_FETCHING => Piece::Unknown,
                 false => Piece::Later,
             };
             Ok::<_, capnp::Error>(Some(piece))
--- a/crates/egret_loader/src/lib.rs
+++ b/crates/egret_loader/src/lib.rs
@@ -24,5 +24,5 @@
 
 pub use engine::{Engine, EngineError, EngineReport, Origin};
 pub use loader::{Loader, LoaderSettings};
-pub use sources::{Source, sources};
+pub use sources::{Source, fetch_order, sources};
 pub use window::Window;
--- a/crates/egret_loader/src/sources.rs
+++ b/crates/egret_loader/src/sources.rs
@@ -60,6 +60,16 @@
     found
 }
 
+/// Orders pieces so that those which this agent alone fetches from the origin come first.
+///
+/// Pattern: a version is named to all agents at once, and the link of one is squeezed. All others
+/// wait for its share of the origin's pieces, but not for the rest of what it fetches.
+#[must_use]
+pub fn fetch_order(mut pieces: Vec<u32>, sources: impl Fn(u32) -> Vec<Source>) -> Vec<u32> {
+    pieces.sort_by_cached_key(|piece| sources(*piece).first() != Some(&Source::Origin));
+    pieces
+}
+
 fn distance(one: &DataCentre, other: &DataCentre) -> u8 {
     u8::from(one != other)
 }
--- a/crates/egret_loader/tests/loading.rs
+++ b/crates/egret_loader/tests/loading.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use egret_fleet::{Fleet, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting};
-use egret_loader::{Source, sources};
+use egret_loader::{Source, fetch_order, sources};
 use egret_record::{DataCentre, WeightVersion};
 use egret_weights::{PieceDigest, PieceList, WavePlan};
 use rand::{SeedableRng as _, rngs::SmallRng};
@@ -102,3 +102,21 @@
     assert!(!list.accepts(0, b"farst"));
     assert!(!list.accepts(0, b"second"), "a right piece at the wrong place");
 }
+
+#[test]
+fn pieces_that_others_wait_for_come_first() {
+    let agents = twelve();
+    let fleet = fleet(&agents);
+    for own in &agents {
+        let ways = |piece| {
+            let mut random = SmallRng::seed_from_u64(1);
+            sources(&fleet, own, "m", WeightVersion(2), piece, &mut random)
+        };
+        let order = fetch_order((0..96).collect(), ways);
+        let from_origin = |piece: &u32| ways(*piece)[0] == Source::Origin;
+        let first = order.iter().take_while(|piece| from_origin(piece)).count();
+        assert_eq!(first, order.iter().filter(|piece| from_origin(piece)).count());
+        let rest = &order[first..];
+        assert!(rest.is_sorted(), "the rest comes in the same order everywhere");
+    }
+}
