Ask the agents that have a version loaded first only once they are many

Change: loaded agents come before the trees only where they are half of all, and after them otherwise. Test: the_only_agent_that_has_loaded_a_version_is_not_asked_by_all.

--- a/crates/egret_loader/src/sources.rs
+++ b/crates/egret_loader/src/sources.rs
@@ -2,8 +2,8 @@
 //!
 //! A version that was just named comes along the trees on which all agents
 //! agree, so that the origin sends about one copy and every agent uploads about
-//! as much as it downloads. An engine that comes later asks those that have the
-//! version loaded, the nearest first, and leaves the origin alone.
+//! as much as it downloads. Once most engines have it loaded, one that comes
+//! later asks those, the nearest first, and leaves the origin alone.
 
 use std::net::SocketAddr;
 
@@ -43,20 +43,24 @@
     let mut loaded: Vec<&ProcessStatus> = agents.iter().filter(has).copied().collect();
     loaded.shuffle(random);
     loaded.sort_by_key(|agent| distance(&agent.data_centre, &own.data_centre));
-    let mut found: Vec<Source> =
-        loaded.iter().take(LOADED_ASKED).map(|agent| Source::Agent(agent.address)).collect();
-    for parent in tree(&agents, own, index) {
-        let source = match parent {
-            Parent::Agent(_, address) => Source::Agent(address),
-            Parent::Origin => Source::Origin,
-        };
+    let ready = loaded.iter().take(LOADED_ASKED).map(|agent| Source::Agent(agent.address));
+    let above = tree(&agents, own, index).into_iter().filter_map(|parent| match parent {
+        Parent::Agent(_, address) => Some(Source::Agent(address)),
+        Parent::Origin => None,
+    });
+    // Few that have it could not serve all others; along the trees each serves two.
+    let mut all: Vec<Source> = if loaded.len() * 2 >= agents.len() {
+        ready.chain(above).collect()
+    } else {
+        above.chain(ready).collect()
+    };
+    all.push(Source::Origin);
+    let mut found = Vec::with_capacity(all.len());
+    for source in all {
         if !found.contains(&source) {
             found.push(source);
         }
     }
-    if !found.contains(&Source::Origin) {
-        found.push(Source::Origin);
-    }
     found
 }
 
--- a/crates/egret_loader/tests/loading.rs
+++ b/crates/egret_loader/tests/loading.rs
@@ -120,3 +120,20 @@
         assert!(rest.is_sorted(), "the rest comes in the same order everywhere");
     }
 }
+
+#[test]
+fn the_only_agent_that_has_loaded_a_version_is_not_asked_by_all() {
+    // Pattern: all agents start again while one in a data centre has the version loaded.
+    let mut agents = twelve();
+    let model = LoadedModel { model: "m".to_owned(), version: WeightVersion(1), complete: true };
+    agents[0].loaded = Some(egret_fleet::EngineWord { born: 1, models: vec![model] });
+    let fleet = fleet(&agents);
+    let first = Source::Agent(agents[0].address);
+    for piece in 0..96 {
+        let asked = agents[1..].iter().filter(|own| {
+            let mut random = SmallRng::seed_from_u64(1);
+            sources(&fleet, own, "m", WeightVersion(1), piece, &mut random)[0] == first
+        });
+        assert!(asked.count() <= 5, "piece {piece}: its children, and the tops of trees");
+    }
+}
