Double the window of pieces in a round trip

Pieces that the other agent does not have yet take up to half a second and kept the window small. Change: every piece that takes less than 900 ms widens the window by one. Conclusion: a squeezed link still begins with four pieces, the others are not held up.

--- a/crates/egret_loader/src/window.rs
+++ b/crates/egret_loader/src/window.rs
@@ -2,7 +2,7 @@
 //!
 //! The engine's requests come over the same link. Where the link is narrow, many
 //! pieces at once would queue before them for seconds, so the window begins small,
-//! widens while pieces come soon, and halves when one takes long.
+//! widens while pieces come in time, and halves when one takes long.
 
 use std::{cell::Cell, time::Duration};
 
@@ -14,10 +14,8 @@
 const WINDOW_FIRST: f64 = 4.0;
 /// Smallest window: one piece on its way while the next is asked for.
 const WINDOW_MIN: f64 = 2.0;
-/// Growth of the window with each piece that comes soon.
-const GROWTH: f64 = 0.5;
-/// Time within which a piece comes soon; the other agent may have waited for it meanwhile.
-const SOON: Duration = Duration::from_millis(350);
+/// Growth of the window with each piece that comes in time: it doubles in a round trip.
+const GROWTH: f64 = 1.0;
 /// Time after which a piece took long: more than another agent waits for it, and some more.
 const LONG: Duration = Duration::from_millis(900);
 
@@ -30,7 +28,6 @@
 /// let window = Window::default();
 /// assert_eq!(window.size(), 4);
 /// window.ended(Duration::from_millis(40));
-/// window.ended(Duration::from_millis(40));
 /// assert_eq!(window.size(), 5);
 /// window.ended(Duration::from_secs(1));
 /// assert_eq!(window.size(), 2);
@@ -83,11 +80,7 @@
     /// Notes how long a fetch took, whatever came of it.
     pub fn ended(&self, took: Duration) {
         let size = self.size.get();
-        let size = match took {
-            _ if took < SOON => size + GROWTH,
-            _ if took > LONG => size / 2.0,
-            _ => size,
-        };
+        let size = if took < LONG { size + GROWTH } else { size / 2.0 };
         self.size.set(size.clamp(WINDOW_MIN, WINDOW_MAX));
     }
 
