--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -152,6 +152,7 @@
         sources: impl Fn(u32) -> Vec<Source>,
         unwanted: impl Future<Output = ()>,
     ) {
+        self.window.restart();
         let missing = stream::iter(fetch_order(held.missing(), &sources));
         let fetches = missing.map(async |index| {
             let mut patience = Patience::default();
--- a/crates/egret_loader/src/window.rs
+++ b/crates/egret_loader/src/window.rs
@@ -32,6 +32,8 @@
 /// window.ended(Duration::from_secs(1));
 /// assert_eq!(window.size(), 2);
 /// assert!(window.is_narrow());
+/// window.restart();
+/// assert_eq!(window.size(), 4);
 /// ```
 #[derive(Debug)]
 pub struct Window {
@@ -77,6 +79,11 @@
         self.size.get() < WINDOW_FIRST
     }
 
+    /// Begins anew, since the link may have changed while nothing was fetched.
+    pub fn restart(&self) {
+        self.size.set(WINDOW_FIRST);
+    }
+
     /// Notes how long a fetch took, whatever came of it.
     pub fn ended(&self, took: Duration) {
         let size = self.size.get();
