Work out once when weights expire, and read agents in one pass

Found on re-reading the change: whether a version is coming and when the held one expires were two functions that say the same of one table, and each refresh of the fleet looked at every backend server for every agent, then went over the agents twice more. Change: the choice of a backend server asks Gateway::expires, coming_version is gone; the words of agents are looked up by the address of their engine.

--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -252,12 +252,6 @@
         self.tables.borrow().due_version(model, grace, now)
     }
 
-    /// Returns the version of a model that will soon be the only one to answer.
-    pub(crate) fn coming_version(&self, model: &str, now: Duration) -> Option<WeightVersion> {
-        let grace = self.settings.version_grace;
-        self.tables.borrow().coming_version(model, grace, SLOW_BEGIN_TIME, now)
-    }
-
     /// Returns when the version that an engine holds may not begin an answer any more, if soon.
     pub(crate) fn expires(
         &self,
@@ -311,12 +305,25 @@
             }
             backend.status.replace(status.clone());
         }
+        let mut loaded = FastMap::default();
+        let (mut narrow, mut switching) = (FastSet::default(), FastSet::default());
         for agent in fleet.processes(ProcessKind::Agent) {
-            let beside = |one: &&Rc<Backend>| Some(one.status.borrow().address) == agent.engine;
-            for backend in backends.values().filter(beside) {
-                backend.seen.replace(agent.loaded.clone());
+            let Some(engine) = agent.engine else { continue };
+            loaded.insert(engine, &agent.loaded);
+            if agent.narrow {
+                narrow.insert(engine);
+            }
+            if agent.switching {
+                switching.insert(engine);
+            }
+        }
+        for backend in backends.values() {
+            if let Some(word) = loaded.get(&backend.status.borrow().address) {
+                backend.seen.replace((*word).clone());
             }
         }
+        self.narrow.replace(narrow);
+        self.switching.replace(switching);
         let near = fleet.entries().filter(|one| one.data_centre == *self.data_centre()).count();
         self.near.set(u32::try_from(near).unwrap_or(u32::MAX));
         let entries = fleet.entries().count();
@@ -326,9 +333,5 @@
             let saved = self.settings.retry_saved / f64::from(entries);
             self.budget.replace(RetryBudget::bounded(self.settings.retry_share, saved));
         }
-        let narrow = fleet.processes(ProcessKind::Agent).filter(|agent| agent.narrow);
-        self.narrow.replace(narrow.filter_map(|agent| agent.engine).collect());
-        let switching = fleet.processes(ProcessKind::Agent).filter(|agent| agent.switching);
-        self.switching.replace(switching.filter_map(|agent| agent.engine).collect());
     }
 }
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -251,12 +251,10 @@
         Some(model) => match (backend.version_of(model), version) {
             (Some(held), Some(strict)) => held >= strict,
             (Some(held), None) => {
-                let coming = gateway.coming_version(model, gateway.now());
                 let slow = backend.is_sluggish() || gateway.is_narrow(&status.address);
-                coming.is_none_or(|coming| held >= coming) || !slow
+                !slow || gateway.expires(model, Some(held), gateway.now()).is_none()
             }
-            (None, None) => false,
-            (None, Some(_)) => false,
+            (None, _) => false,
         },
         None => true,
     };
--- a/crates/egret_gateway/src/tables.rs
+++ b/crates/egret_gateway/src/tables.rs
@@ -53,17 +53,6 @@
         due.map(|(version, _)| *version).max()
     }
 
-    /// Returns the version of a model that will be due within `ahead`.
-    pub(crate) fn coming_version(
-        &self,
-        model: &str,
-        grace: Duration,
-        ahead: Duration,
-        now: Duration,
-    ) -> Option<WeightVersion> {
-        self.due_version(model, grace.saturating_sub(ahead), now)
-    }
-
     /// Returns when the first version of a model after `held` is due.
     pub(crate) fn next_due(
         &self,
