Read the digest of a version between agents in one place

Found on re-reading the change: the servers of pieces of egret_loader and egret_agent each decoded the 32 bytes with the same words. Change: egret_rpc::read_version_digest serves both.

--- a/crates/egret_agent/src/peer_server.rs
+++ b/crates/egret_agent/src/peer_server.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use egret_record::{FastMap, VersionDigest};
-use egret_rpc::schema::peer;
+use egret_rpc::{read_version_digest, schema::peer};
 use egret_weights::VersionFolder;
 use tokio::{sync::watch, time::timeout};
 
@@ -88,7 +88,7 @@
         params: peer::HeldParams,
         mut results: peer::HeldResults,
     ) -> capnp::Result<()> {
-        let digest = digest_of(params.get()?.get_version()?)?;
+        let digest = read_version_digest(params.get()?.get_version()?)?;
         let held = self.holdings.get(digest);
         let chunks: Vec<u32> = held
             .map(|held| held.folder.borrow().held().iter().copied().collect())
@@ -107,7 +107,7 @@
     ) -> capnp::Result<()> {
         let (digest, index) = {
             let params = params.get()?;
-            (digest_of(params.get_version()?)?, params.get_index())
+            (read_version_digest(params.get_version()?)?, params.get_index())
         };
         if let Some(content) = self.find(digest, index).await {
             self.links.pay_upload(content.len()).await;
@@ -126,7 +126,7 @@
         params: peer::ManifestParams,
         mut results: peer::ManifestResults,
     ) -> capnp::Result<()> {
-        let digest = digest_of(params.get()?.get_version()?)?;
+        let digest = read_version_digest(params.get()?.get_version()?)?;
         let mut known = self.holdings.known();
         let _ = timeout(WAIT, known.wait_for(|_| self.holdings.get(digest).is_some())).await;
         if let Some(held) = self.holdings.get(digest) {
@@ -140,8 +140,3 @@
         Ok(())
     }
 }
-
-fn digest_of(bytes: &[u8]) -> capnp::Result<VersionDigest> {
-    let digest = bytes.try_into().map(VersionDigest);
-    digest.map_err(|_| capnp::Error::failed("a version is named by 32 bytes".to_owned()))
-}
--- a/crates/egret_loader/src/peer.rs
+++ b/crates/egret_loader/src/peer.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use egret_record::VersionDigest;
-use egret_rpc::schema::peer;
+use egret_rpc::{read_version_digest, schema::peer};
 use egret_weights::Bucket;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -76,7 +76,7 @@
         params: peer::HeldParams,
         mut results: peer::HeldResults,
     ) -> capnp::Result<()> {
-        let key = key_of(params.get()?.get_version()?)?;
+        let key = read_version_digest(params.get()?.get_version()?)?;
         let held = self.holdings.find(key);
         let pieces = held.map(|held| held.indexes()).unwrap_or_default();
         let mut out = results.get().init_chunks(u32::try_from(pieces.len()).unwrap_or(0));
@@ -93,7 +93,7 @@
     ) -> capnp::Result<()> {
         let (key, index) = {
             let params = params.get()?;
-            (key_of(params.get_version()?)?, params.get_index())
+            (read_version_digest(params.get_version()?)?, params.get_index())
         };
         if let Some(content) = self.find(key, index).await {
             self.pay(content.len()).await;
@@ -113,7 +113,7 @@
         params: peer::ManifestParams,
         mut results: peer::ManifestResults,
     ) -> capnp::Result<()> {
-        let key = key_of(params.get()?.get_version()?)?;
+        let key = read_version_digest(params.get()?.get_version()?)?;
         if let Some(held) = self.wait_for_version(key).await {
             let content = egret_rpc::encode(&held.list);
             let mut answer = results.get();
@@ -123,8 +123,3 @@
         Ok(())
     }
 }
-
-fn key_of(bytes: &[u8]) -> capnp::Result<VersionDigest> {
-    let key = bytes.try_into().map(VersionDigest);
-    key.map_err(|_| capnp::Error::failed("a version is named by 32 bytes".to_owned()))
-}
--- a/crates/egret_rpc/src/convert.rs
+++ b/crates/egret_rpc/src/convert.rs
@@ -1,14 +1,24 @@
-//! Conversions of the replicated log's messages.
+//! Conversions of messages between processes.
 
 use std::time::Duration;
 
 use egret_consensus::{
     Append, Body, ClusterId, Envelope, Index, LogEntry, Member, Membership, Payload, Snapshot, Term,
 };
-use egret_record::MemberId;
+use egret_record::{MemberId, VersionDigest};
 
 use crate::schema;
 
+/// Reads the digest that names a version of weights between agents.
+///
+/// # Errors
+///
+/// Returns an error when it is not 32 bytes long.
+pub fn read_version_digest(bytes: &[u8]) -> capnp::Result<VersionDigest> {
+    let digest = bytes.try_into().map(VersionDigest);
+    digest.map_err(|_| capnp::Error::failed("a version is named by 32 bytes".to_owned()))
+}
+
 /// Writes a message of the replicated log.
 pub fn write_envelope(envelope: &Envelope, mut out: schema::envelope::Builder<'_>) {
     out.set_cluster(envelope.cluster.0);
--- a/crates/egret_rpc/src/lib.rs
+++ b/crates/egret_rpc/src/lib.rs
@@ -5,7 +5,7 @@
 //! connections, follows the leader, and holds the session of an entry or agent.
 //!
 //! - `request`: what the control state is asked, and what it replies.
-//! - `convert`: conversions of the replicated log's messages.
+//! - `convert`: conversions of messages between processes.
 //! - `connection`: connections and listeners.
 //! - `client`: requests to whichever control instance leads.
 //! - `follower`: follows the view and the fleet at whichever control instance is well.
@@ -20,7 +20,7 @@
 
 pub use client::{CallError, ControlClient, ControlHandle, ControlQueue};
 pub use connection::{Connection, Connections, listen};
-pub use convert::{read_envelope, read_member, write_envelope, write_member};
+pub use convert::{read_envelope, read_member, read_version_digest, write_envelope, write_member};
 pub use egret_schema::egret_capnp as schema;
 pub use follower::{
     ANSWER_TIME, Follower, FollowerSettings, HOLD_TIME, News, SharedFleet, watch_once,
