--- a/crates/egret_telemetry/src/program.rs
+++ b/crates/egret_telemetry/src/program.rs
@@ -3,18 +3,22 @@
 //! Exit codes: 0 after a graceful stop or a successful `--check`, 1 when the
 //! program could not go on, 2 when settings or command line cannot be used.
 
-use std::{future::Future, path::PathBuf, process::ExitCode};
+use std::{
+    future::Future,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use egret_settings::{Settings, load};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::logs::{LogOutput, start_logs};
+use crate::logs::{LogOutput, Logs, start_logs};
 
 /// Exit code when the program could not go on.
-const EXIT_FAILED: u8 = 1;
+pub const EXIT_FAILED: u8 = 1;
 /// Exit code when settings or command line cannot be used.
-const EXIT_USAGE: u8 = 2;
+pub const EXIT_USAGE: u8 = 2;
 
 /// What a program says of itself.
 #[derive(Debug, Clone, Copy)]
@@ -53,14 +57,9 @@
         Ok(settings) => settings,
         Err(error) => return fail(&miette::Report::from(*error), EXIT_USAGE),
     };
-    if matches.get_flag("check") {
-        println!("{}: the settings can be used", path.display());
-        return ExitCode::SUCCESS;
-    }
-    let level = matches.get_one::<String>("log-level").expect("clap has a default");
-    let _logs = match start_logs(level, LogOutput::Output) {
+    let _logs = match check_or_log(&matches, path) {
         Ok(logs) => logs,
-        Err(error) => return fail(&error.into(), EXIT_USAGE),
+        Err(code) => return code,
     };
     let runtime = match threads {
         Threads::One => tokio::runtime::Builder::new_current_thread().enable_all().build(),
@@ -103,7 +102,27 @@
     [check, level]
 }
 
-fn fail(error: &miette::Report, code: u8) -> ExitCode {
+/// Starts the logs of a program whose settings at `path` can be used.
+///
+/// # Errors
+///
+/// Returns the exit code of a program that shall only check them, or that cannot log.
+///
+/// # Panics
+///
+/// Panics when `matches` lacks the arguments of [`common_args`].
+pub fn check_or_log(matches: &ArgMatches, path: &Path) -> Result<Logs, ExitCode> {
+    if matches.get_flag("check") {
+        println!("{}: the settings can be used", path.display());
+        return Err(ExitCode::SUCCESS);
+    }
+    let level = matches.get_one::<String>("log-level").expect("clap has a default");
+    start_logs(level, LogOutput::Output).map_err(|error| fail(&error.into(), EXIT_USAGE))
+}
+
+/// Shows why a program ends, and returns its exit code.
+#[must_use]
+pub fn fail(error: &miette::Report, code: u8) -> ExitCode {
     eprintln!("{error:?}");
     ExitCode::from(code)
 }
