Bound the pieces on a link before weights are due

Cause: a link that was squeezed in the middle of a fetch held up to sixteen pieces, 3.4 s of its bytes.

Change: an agent asks for no more pieces than a link that is squeezed at this moment carries before entries turn from the old version; never fewer than four. The bound ends with the old version. BEGIN_TIME moves to egret_fleet, since entries and agents plan with it. A failed test of real processes prints the ends of their logs.

--- a/crates/egret_bench/src/deployment.rs
+++ b/crates/egret_bench/src/deployment.rs
@@ -26,6 +26,8 @@
 
 /// Longest time for one administrative question.
 const ASK_TIMEOUT: Duration = Duration::from_secs(15);
+/// Lines that are printed of each log when a test fails; enough for the 30 s that a test waits.
+const LOG_LINES: usize = 300;
 /// Pause between two looks at a state that is waited for.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -93,6 +95,9 @@
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.processes.values_mut().for_each(ChildProcess::kill);
+        if std::thread::panicking() {
+            self.print_logs();
+        }
         if std::env::var_os("EGRET_KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
@@ -358,6 +363,17 @@
         self.processes.get(name)?.id()
     }
 
+    /// Prints the ends of all logs, for whoever traces a failed test.
+    fn print_logs(&self) {
+        for (name, process) in &self.processes {
+            let log = process.log();
+            let lines: Vec<_> = log.lines().collect();
+            let shown = &lines[lines.len().saturating_sub(LOG_LINES)..];
+            eprintln!("== the log of {name}, {} lines, the last {}:", lines.len(), shown.len());
+            shown.iter().for_each(|line| eprintln!("{line}"));
+        }
+    }
+
     /// Returns the log of a process.
     #[must_use]
     pub fn log(&self, name: &str) -> String {
--- a/crates/egret_fleet/src/lib.rs
+++ b/crates/egret_fleet/src/lib.rs
@@ -40,6 +40,6 @@
 pub use feed::{Feed, FeedCursor, FeedDelta};
 pub use fleet::{Fleet, Known, News};
 pub use status::{
-    BackendStatus, EngineWord, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting,
+    BEGIN_TIME, BackendStatus, EngineWord, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting,
     SightingKey, version_of,
 };
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use egret_fleet::{ProcessKind, Sighting};
+use egret_fleet::{BEGIN_TIME, ProcessKind, Sighting};
 use egret_record::{DataCentre, FastMap, FastSet, WeightVersion};
 use egret_route::{CallAges, Distance, RetryBudget};
 use egret_rpc::Follower;
@@ -18,10 +18,7 @@
 /// Most entries that a caller is told of.
 const ENTRIES_TOLD: usize = 64;
 
-/// Longest time that a request takes to begin at a busy engine, from when a place was found: a
-/// second behind pieces on a squeezed link that is not known as such yet, and a full queue.
-const BEGIN_TIME: Duration = Duration::from_millis(1_600);
-/// The same at an engine whose link is squeezed.
+/// [`BEGIN_TIME`] at an engine whose link is squeezed.
 const SLOW_BEGIN_TIME: Duration = Duration::from_millis(3_700);
 
 /// Settings of a gateway.
--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -1,7 +1,7 @@
 //! Fetches what is missing.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -54,6 +54,8 @@
     agents: Connections<peer::Client>,
     origin_permits: Semaphore,
     pub(crate) window: Window,
+    /// Bytes of the last piece that came.
+    pub(crate) piece_bytes: Cell<usize>,
     /// Agents that failed, with when they are asked again.
     suspects: RefCell<FastMap<SocketAddr, Instant>>,
 }
@@ -93,6 +95,7 @@
             agents: Connections::new(own),
             origin_permits: Semaphore::new(ORIGIN_WINDOW),
             window: Window::default(),
+            piece_bytes: Cell::new(0),
             suspects: RefCell::default(),
         }
     }
@@ -209,6 +212,7 @@
         let kind = if source == Source::Origin { "origin" } else { "agent" };
         metrics::counter!("egret_loader_pieces_total", "from" => kind).increment(1);
         log::debug!("event=piece_fetched piece={index} from={source:?}");
+        self.piece_bytes.set(content.len());
         match self.engine.stage(&held.target.model, index, content).await {
             Ok(()) => held.insert(index),
             Err(error) => {
--- a/crates/egret_loader/src/lib.rs
+++ b/crates/egret_loader/src/lib.rs
@@ -25,4 +25,4 @@
 pub use engine::{Engine, EngineError, EngineReport, Origin};
 pub use loader::{Loader, LoaderSettings};
 pub use sources::{Source, fetch_order, sources};
-pub use window::Window;
+pub use window::{Window, pieces_within};
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use egret_fleet::{EngineWord, ProcessKind, ProcessStatus, version_of};
+use egret_fleet::{BEGIN_TIME, EngineWord, ProcessKind, ProcessStatus, version_of};
 use egret_record::WeightVersion;
 use egret_rpc::{Follower, listen, schema::peer};
 use egret_telemetry::{ListenError, bind};
@@ -15,6 +15,7 @@
     holdings::{Held, Holdings, Target},
     peer::PeerServer,
     sources::{Source, sources},
+    window::pieces_within,
 };
 
 /// Pause between two looks at the engine while nothing is to be done.
@@ -35,6 +36,10 @@
     pub process: ProcessStatus,
     /// When the engines of a service change their weights.
     pub waves: WavePlan,
+    /// Time after the naming of a version from which no older one may begin an answer.
+    pub version_time: Duration,
+    /// Bytes a second of the engine's link.
+    pub link_bytes: u64,
     /// Bytes a second that may be sent to other agents.
     pub upload_bytes: u64,
 }
@@ -130,7 +135,7 @@
             }
             return Ok(());
         }
-        let held = self.fetch(&target).await?;
+        let held = self.fetch(&target, loaded).await?;
         if !self.is_wanted(&target) || !held.missing().is_empty() {
             return Ok(());
         }
@@ -199,14 +204,38 @@
         view.weights.get(&target.model).is_none_or(|named| *named == target.version)
     }
 
-    /// Tells entries while pieces fill the link to the engine.
-    async fn watch_link(&self) {
+    /// Tells entries while pieces fill the link to the engine, and keeps it free for requests
+    /// that must begin before the version `loaded` is due to be left.
+    async fn watch_link(&self, target: &Target, loaded: Option<WeightVersion>) {
+        let window = &self.fetcher.window;
         loop {
-            self.set_narrow(self.fetcher.window.is_narrow());
+            self.set_narrow(window.is_narrow());
+            // An engine that has nothing to serve needs its link for pieces alone.
+            let most = match loaded.and_then(|loaded| self.time_left(target, loaded)) {
+                Some(left) => {
+                    let free = left.saturating_sub(BEGIN_TIME);
+                    let bytes = self.fetcher.piece_bytes.get();
+                    pieces_within(free, bytes, self.settings.link_bytes)
+                }
+                None => f64::INFINITY,
+            };
+            window.bound(most);
             sleep(BUSY_PERIOD).await;
         }
     }
 
+    /// Returns how long the version `loaded` may still begin answers; nothing when it may not.
+    fn time_left(&self, target: &Target, loaded: WeightVersion) -> Option<Duration> {
+        let due = self.named_after(target, loaded)? + self.settings.version_time;
+        due.checked_sub(self.follower.now())
+    }
+
+    /// Returns when the first version after `loaded` was named; each is due by its own time.
+    fn named_after(&self, target: &Target, loaded: WeightVersion) -> Option<Duration> {
+        let namings = self.follower.namings(&target.model);
+        namings.iter().find(|(version, _)| *version > loaded).map(|(_, named)| *named)
+    }
+
     fn set_narrow(&self, narrow: bool) {
         if self.follower.process().is_some_and(|process| process.narrow != narrow) {
             log::info!("event=link_seen narrow={narrow}");
@@ -246,7 +275,11 @@
     }
 
     /// Brings all pieces of a version to the engine.
-    async fn fetch(&self, target: &Target) -> Result<Rc<Held>, EngineError> {
+    async fn fetch(
+        &self,
+        target: &Target,
+        loaded: Option<WeightVersion>,
+    ) -> Result<Rc<Held>, EngineError> {
         let held = match self.holdings.find(target.key()) {
             Some(held) => held,
             None => {
@@ -264,7 +297,7 @@
             let sources = |index| self.sources(target, index);
             tokio::select! {
                 () = self.fetcher.fetch_missing(&held, sources, self.unwanted(target)) => {}
-                () = self.watch_link() => {}
+                () = self.watch_link(target, loaded) => {}
             }
             self.set_narrow(false);
             log::info!(
@@ -319,10 +352,7 @@
 
     /// Waits until it is this engine's turn to leave the version `loaded`.
     async fn wait_for_turn(&self, target: &Target, loaded: WeightVersion) {
-        // The first later version decides: each is due by its own time.
-        let namings = self.follower.namings(&target.model);
-        let named = namings.iter().find(|(version, _)| *version > loaded);
-        let Some((_, named)) = named.copied() else { return };
+        let Some(named) = self.named_after(target, loaded) else { return };
         let start = named + self.turn();
         while self.follower.now() < start && self.is_wanted(target) {
             sleep(start.saturating_sub(self.follower.now()).min(LOOK_PERIOD)).await;
--- a/crates/egret_loader/src/window.rs
+++ b/crates/egret_loader/src/window.rs
@@ -16,6 +16,8 @@
 const WINDOW_MIN: f64 = 2.0;
 /// Growth of the window with each piece that comes in time: it doubles in a round trip.
 const GROWTH: f64 = 1.0;
+/// Part of its usual bytes a second that a squeezed link still carries.
+const SQUEEZED_PART: f64 = 0.125;
 /// Time after which a piece took long: more than another agent waits for it, and some more.
 const LONG: Duration = Duration::from_millis(900);
 
@@ -38,6 +40,8 @@
 #[derive(Debug)]
 pub struct Window {
     size: Cell<f64>,
+    /// Bound on the size while requests must not queue behind pieces for long.
+    most: Cell<f64>,
     inside: Cell<usize>,
     left: Notify,
 }
@@ -53,9 +57,31 @@
     }
 }
 
+/// Returns how many pieces of `bytes` a link of `rate` bytes a second carries in `left`, if it
+/// is squeezed at this moment.
+///
+/// ```
+/// use std::time::Duration;
+/// use egret_loader::pieces_within;
+///
+/// assert_eq!(pieces_within(Duration::from_secs(2), 25_000, 1_000_000), 10.0);
+/// ```
+#[must_use]
+pub fn pieces_within(left: Duration, bytes: usize, rate: u64) -> f64 {
+    // Both are far below the bound of exact integers.
+    #[expect(clippy::cast_precision_loss, reason = "small numbers")]
+    let (bytes, rate) = (bytes.max(1) as f64, rate as f64);
+    left.as_secs_f64() * rate * SQUEEZED_PART / bytes
+}
+
 impl Default for Window {
     fn default() -> Self {
-        Self { size: Cell::new(WINDOW_FIRST), inside: Cell::new(0), left: Notify::new() }
+        Self {
+            size: Cell::new(WINDOW_FIRST),
+            most: Cell::new(WINDOW_MAX),
+            inside: Cell::new(0),
+            left: Notify::new(),
+        }
     }
 }
 
@@ -69,7 +95,7 @@
             clippy::cast_sign_loss,
             reason = "small, positive"
         )]
-        let size = self.size.get() as usize;
+        let size = self.size.get().min(self.most.get()) as usize;
         size
     }
 
@@ -82,6 +108,13 @@
     /// Begins anew, since the link may have changed while nothing was fetched.
     pub fn restart(&self) {
         self.size.set(WINDOW_FIRST);
+        self.most.set(WINDOW_MAX);
+    }
+
+    /// Bounds the pieces that are asked for from now on.
+    pub fn bound(&self, most: f64) {
+        self.most.set(most.clamp(WINDOW_FIRST, WINDOW_MAX));
+        self.left.notify_one();
     }
 
     /// Notes how long a fetch took, whatever came of it.
--- a/crates/egret_loader/tests/loading.rs
+++ b/crates/egret_loader/tests/loading.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use egret_fleet::{Fleet, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting};
-use egret_loader::{Source, fetch_order, sources};
+use egret_fleet::{BEGIN_TIME, Fleet, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting};
+use egret_loader::{Source, Window, fetch_order, pieces_within, sources};
 use egret_record::{DataCentre, WeightVersion};
 use egret_weights::{PieceDigest, PieceList, WavePlan};
 use rand::{SeedableRng as _, rngs::SmallRng};
@@ -137,3 +137,25 @@
         assert!(asked.count() <= 5, "piece {piece}: its children, and the tops of trees");
     }
 }
+
+/// Load: a link that drops to an eighth while pieces fill it, seconds before weights are due.
+#[test]
+fn squeezed_link_is_free_for_requests_before_weights_are_due() {
+    let (bytes, rate) = (24_576, 7_300_000 / 8);
+    let squeezed = Duration::from_secs(1).mul_f64(24_576.0 * 8.0 / 912_500.0);
+    for millis in (0..8_000).step_by(50) {
+        let left = Duration::from_millis(millis);
+        let free = left.saturating_sub(BEGIN_TIME);
+        let window = Window::default();
+        (0..40).for_each(|_| window.ended(Duration::from_millis(30)));
+        window.bound(pieces_within(free, bytes, rate));
+        let queued = squeezed * u32::try_from(window.size()).expect("a small number");
+        // Four pieces may always be asked for; requests have the time for them.
+        let four = Duration::from_millis(870);
+        assert!(queued <= free.max(four), "{millis} ms: {queued:?} of pieces, {free:?} free");
+    }
+    let window = Window::default();
+    (0..40).for_each(|_| window.ended(Duration::from_millis(30)));
+    window.bound(pieces_within(Duration::from_secs(5), bytes, rate));
+    assert_eq!(window.size(), 16, "a version that is due later is fetched at full speed");
+}
