Ask for pieces so that what is late holds up no other

Cause: sixteen pieces were asked for at a time, and one that its parent did not have kept its place until it came. Pieces that waited for the origin's two places held agents' places, too.

Change: Queue holds the missing pieces: places of the origin and of agents are counted apart, and a piece that was not there three times, 250 ms each, goes behind the others. Neighbours keeps how many pieces others have, which each answer tells; who has less than a third is passed over. The tops of a data centre ask those of the data centres before them, and only then the origin. Few agents near that have a version loaded are not asked by all others there.

--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -11,37 +11,32 @@
 use egret_record::FastMap;
 use egret_rpc::{Connections, schema::peer};
 use egret_weights::PieceList;
-use futures::{StreamExt as _, stream};
-use tokio::{
-    sync::Semaphore,
-    time::{Instant, sleep, timeout},
+use futures::{
+    StreamExt as _,
+    stream::{self, FuturesUnordered},
 };
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     engine::{Engine, EngineError, Origin},
     holdings::{Held, Target},
+    neighbours::Neighbours,
     peer::NOT_FETCHING,
+    queue::{Asked, Patience, Queue},
     sources::{Source, fetch_order},
     window::Window,
 };
 
-/// Pieces that are fetched at the same time.
-const WINDOW: usize = 16;
 /// Pieces that are read back and verified at the same time.
 const VERIFY_WINDOW: usize = 4;
 /// Longest wait for a piece from another agent.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(1_300);
-/// Answers without a piece after which an agent counts as too slow for it; each takes half a
-/// second, and the origin's link needs under three for a whole version.
-const LATER_MAX: u32 = 6;
 /// Time for which an agent that failed is passed over.
 const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which an agent that does not know the version is passed over; it may learn of it.
 const UNKNOWN_TIME: Duration = Duration::from_millis(300);
 /// Pause before the origin is asked again after a failure.
 const ORIGIN_PAUSE: Duration = Duration::from_millis(150);
-/// Pieces that one agent asks of the origin at once, which limits its connections.
-const ORIGIN_WINDOW: usize = 2;
 /// Longest wait for a piece list from another agent.
 const LIST_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest wait for an answer of the origin, whose link all share.
@@ -52,27 +47,13 @@
     pub(crate) engine: Rc<E>,
     pub(crate) origin: Rc<O>,
     agents: Connections<peer::Client>,
-    origin_permits: Semaphore,
     pub(crate) window: Window,
     /// Bytes of the last piece that came.
     pub(crate) piece_bytes: Cell<usize>,
     /// Agents that failed, with when they are asked again.
     suspects: RefCell<FastMap<SocketAddr, Instant>>,
-}
-
-/// How often agents said that they do not have one piece yet.
-#[derive(Debug, Default)]
-struct Patience(FastMap<SocketAddr, u32>);
-
-impl Patience {
-    fn later(&mut self, address: SocketAddr) {
-        *self.0.entry(address).or_default() += 1;
-    }
-
-    /// Tells whether an agent is so far behind that others are asked.
-    fn is_over(&self, address: SocketAddr) -> bool {
-        self.0.get(&address).is_some_and(|times| *times >= LATER_MAX)
-    }
+    neighbours: RefCell<Neighbours>,
+    start: Instant,
 }
 
 /// What an agent said of a piece.
@@ -93,10 +74,11 @@
             engine,
             origin: Rc::new(origin),
             agents: Connections::new(own),
-            origin_permits: Semaphore::new(ORIGIN_WINDOW),
             window: Window::default(),
             piece_bytes: Cell::new(0),
             suspects: RefCell::default(),
+            neighbours: RefCell::default(),
+            start: Instant::now(),
         }
     }
 
@@ -156,26 +138,40 @@
         unwanted: impl Future<Output = ()>,
     ) {
         self.window.restart();
-        let missing = stream::iter(fetch_order(held.missing(), &sources));
-        let fetches = missing.map(async |index| {
-            let mut patience = Patience::default();
-            while !held.has(index) {
-                self.fetch(held, index, &sources(index), &mut patience).await;
+        self.neighbours.borrow_mut().clear();
+        let mut queue = Queue::new(fetch_order(held.missing(), &sources));
+        let mut running = FuturesUnordered::new();
+        let fetches = async {
+            loop {
+                let best = |index, patience: &_| self.best(&sources(index), patience, held.count());
+                while let Some(mut asked) = queue.next(self.window.size(), best) {
+                    running.push(async move {
+                        self.fetch(held, &mut asked).await;
+                        asked
+                    });
+                }
+                let Some(asked) = running.next().await else { return };
+                let is_here = held.has(asked.index);
+                queue.ended(asked, is_here);
             }
-        });
+        };
         tokio::select! {
-            () = fetches.buffer_unordered(WINDOW).collect::<()>() => {}
+            () = fetches => {}
             () = unwanted => {}
         }
     }
 
     /// Tries to fetch a piece once.
-    async fn fetch(&self, held: &Held, index: u32, sources: &[Source], patience: &mut Patience) {
-        let source = self.best(sources, patience);
+    async fn fetch(&self, held: &Held, asked: &mut Asked) {
+        let Asked { index, source, ref mut patience } = *asked;
         let content = match source {
             Source::Agent(address) => match self.piece_of_agent(address, held, index).await {
                 Piece::Here(content) => Some(content),
                 Piece::Later => {
+                    log::info!(
+                        "event=piece_later piece={index} agent={address} own={}",
+                        held.count()
+                    );
                     patience.later(address);
                     if patience.is_over(address) {
                         log::info!("event=agent_behind piece={index} agent={address}");
@@ -194,7 +190,7 @@
             },
             Source::Origin => {
                 // The agents may have caught up, and the origin is for everybody.
-                patience.0.clear();
+                patience.clear();
                 self.piece_of_origin(&held.target, index).await
             }
         };
@@ -222,14 +218,16 @@
         }
     }
 
-    /// Returns the first source that has not failed lately and is not behind for too long;
-    /// the origin when all are.
-    fn best(&self, sources: &[Source], patience: &Patience) -> Source {
+    /// Returns the first source that has not failed lately and is neither behind this agent,
+    /// which has `own` pieces, nor asked in vain too often; the origin when all are.
+    fn best(&self, sources: &[Source], patience: &Patience, own: usize) -> Source {
         let now = Instant::now();
         let suspects = self.suspects.borrow();
+        let neighbours = self.neighbours.borrow();
         let well = |source: &&Source| match source {
             Source::Agent(address) => {
                 !patience.is_over(*address)
+                    && !neighbours.is_behind(*address, own, self.start.elapsed())
                     && suspects.get(address).is_none_or(|until| now >= *until)
             }
             Source::Origin => true,
@@ -242,7 +240,6 @@
     }
 
     async fn piece_of_origin(&self, target: &Target, index: u32) -> Option<Bytes> {
-        let _permit = self.origin_permits.acquire().await.ok()?;
         let asked = self.origin.piece(&target.model, target.version, index);
         match timeout(ORIGIN_TIMEOUT, asked).await {
             Ok(Ok(content)) => Some(content),
@@ -258,8 +255,8 @@
     }
 
     async fn piece_of_agent(&self, address: SocketAddr, held: &Held, index: u32) -> Piece {
-        let _place = self.window.enter().await;
         let began = Instant::now();
+        self.neighbours.borrow_mut().asked(address, self.start.elapsed());
         let asked = timeout(AGENT_TIMEOUT, async {
             let connection = self.agents.get(address).await.map_err(|error| failed(&error))?;
             let mut call = connection.client().chunk_request();
@@ -267,9 +264,14 @@
             call.get().set_index(index);
             let answer = call.send().promise.await?;
             let answer = answer.get()?;
+            let progress = answer.get_progress();
+            if progress != NOT_FETCHING {
+                let mut neighbours = self.neighbours.borrow_mut();
+                neighbours.note(address, progress as usize, self.start.elapsed());
+            }
             let piece = match answer.get_found() {
                 true => Piece::Here(Bytes::copy_from_slice(answer.get_content()?)),
-                false if answer.get_progress() == NOT_FETCHING => Piece::Unknown,
+                false if progress == NOT_FETCHING => Piece::Unknown,
                 false => Piece::Later,
             };
             Ok::<_, capnp::Error>(Some(piece))
--- a/crates/egret_loader/src/holdings.rs
+++ b/crates/egret_loader/src/holdings.rs
@@ -62,6 +62,11 @@
         (0..self.list.count()).filter(|index| !pieces.contains(index)).collect()
     }
 
+    /// Returns how many pieces there are.
+    pub(crate) fn count(&self) -> usize {
+        self.pieces.borrow().len()
+    }
+
     pub(crate) fn indexes(&self) -> Vec<u32> {
         self.pieces.borrow().iter().copied().collect()
     }
--- a/crates/egret_loader/src/lib.rs
+++ b/crates/egret_loader/src/lib.rs
@@ -11,6 +11,8 @@
 //! - `sources`: whom a piece is fetched from.
 //! - `peer`: pieces for other agents.
 //! - `fetch`: fetches what is missing.
+//! - `queue`: which piece is asked for next, and of whom.
+//! - `neighbours`: how far other agents are.
 //! - `window`: how many pieces are fetched at once.
 //! - `loader`: from the naming of a version to the engine that serves it.
 
@@ -18,11 +20,15 @@
 mod fetch;
 mod holdings;
 mod loader;
+mod neighbours;
 mod peer;
+mod queue;
 mod sources;
 mod window;
 
 pub use engine::{Engine, EngineError, EngineReport, Origin};
 pub use loader::{Loader, LoaderSettings};
+pub use neighbours::Neighbours;
+pub use queue::{Asked, Patience, Queue};
 pub use sources::{Source, fetch_order, sources};
 pub use window::{Window, pieces_within};
--- /dev/null
+++ b/crates/egret_loader/src/neighbours.rs
@@ -0,0 +1,59 @@
+//! How far other agents are with a version.
+//!
+//! Each answer tells how many pieces its sender has. An agent whose link is squeezed
+//! says so long before it fails, and is passed over for those that are further.
+
+use std::{net::SocketAddr, time::Duration};
+
+use egret_record::FastMap;
+
+/// Time after which an agent that was behind is asked again; it may have caught up.
+const FRESH_TIME: Duration = Duration::from_secs(1);
+/// Pieces that this agent has before it compares others with itself.
+const OWN_MIN: usize = 12;
+/// An agent with less than this part of this agent's pieces is behind, as one over them.
+const BEHIND: usize = 3;
+
+/// What other agents said of their progress.
+///
+/// ```
+/// use std::time::Duration;
+/// use egret_loader::Neighbours;
+///
+/// let address = "127.0.0.1:7340".parse().unwrap();
+/// let mut neighbours = Neighbours::default();
+/// neighbours.note(address, 5, Duration::ZERO);
+/// assert!(neighbours.is_behind(address, 30, Duration::ZERO));
+/// assert!(!neighbours.is_behind(address, 10, Duration::ZERO));
+/// ```
+#[derive(Debug, Default)]
+pub struct Neighbours(FastMap<SocketAddr, (usize, Duration)>);
+
+impl Neighbours {
+    /// Notes that an agent has `pieces` at `now`.
+    pub fn note(&mut self, address: SocketAddr, pieces: usize, now: Duration) {
+        self.0.insert(address, (pieces, now));
+    }
+
+    /// Notes that an agent is asked at `now`, so that one question at a time finds out whether
+    /// it has caught up.
+    pub fn asked(&mut self, address: SocketAddr, now: Duration) {
+        if let Some((_, heard)) = self.0.get_mut(&address) {
+            *heard = now;
+        }
+    }
+
+    /// Tells whether an agent has far fewer pieces than this one, which has `own`.
+    #[must_use]
+    pub fn is_behind(&self, address: SocketAddr, own: usize, now: Duration) -> bool {
+        own >= OWN_MIN
+            && self.0.get(&address).is_some_and(|(pieces, heard)| {
+                now.saturating_sub(*heard) < FRESH_TIME && pieces * BEHIND < own
+            })
+    }
+
+    /// Forgets everything, since another version is fetched.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+}
--- a/crates/egret_loader/src/peer.rs
+++ b/crates/egret_loader/src/peer.rs
@@ -13,8 +13,11 @@
     holdings::{Held, Holdings},
 };
 
-/// Longest wait for a piece that is still on its way, short enough to be a sign of life.
-const WAIT: Duration = Duration::from_millis(500);
+/// Longest wait for a piece that is still on its way, in which the agent that asks could fetch
+/// other pieces.
+const WAIT: Duration = Duration::from_millis(250);
+/// Longest wait for a version that may be named here in a moment.
+const NAMING_WAIT: Duration = Duration::from_millis(125);
 /// Says that this agent does not fetch the version, in place of its progress.
 pub(crate) const NOT_FETCHING: u32 = u32::MAX;
 
@@ -44,7 +47,7 @@
     async fn wait_for_version(&self, key: VersionDigest) -> Option<Rc<Held>> {
         let mut replaced = self.holdings.replaced();
         let there = || self.holdings.find(key);
-        let _ = timeout(WAIT / 4, replaced.wait_for(|()| there().is_some())).await;
+        let _ = timeout(NAMING_WAIT, replaced.wait_for(|()| there().is_some())).await;
         there()
     }
 
@@ -102,7 +105,7 @@
             answer.set_found(true);
             answer.set_content(&content);
         }
-        let held = self.holdings.find(key).map(|held| held.indexes().len());
+        let held = self.holdings.find(key).map(|held| held.count());
         let progress = held.and_then(|count| u32::try_from(count).ok());
         results.get().set_progress(progress.unwrap_or(NOT_FETCHING));
         Ok(())
--- a/crates/egret_loader/src/sources.rs
+++ b/crates/egret_loader/src/sources.rs
@@ -9,7 +9,7 @@
 
 use egret_fleet::{Fleet, ProcessKind, ProcessStatus, version_of};
 use egret_record::{BackendName, DataCentre, WeightVersion};
-use egret_weights::{Holder, Parent, parents};
+use egret_weights::{CHILDREN, Holder, Parent, parents};
 use rand::{Rng, seq::SliceRandom as _};
 
 /// Agents that have the version loaded and are asked before the trees.
@@ -42,14 +42,20 @@
     };
     let mut loaded: Vec<&ProcessStatus> = agents.iter().filter(has).copied().collect();
     loaded.shuffle(random);
-    loaded.sort_by_key(|agent| distance(&agent.data_centre, &own.data_centre));
+    let near = |agent: &&&ProcessStatus| agent.data_centre == own.data_centre;
+    let near_loaded = loaded.iter().filter(near).count();
+    let near_missing = agents.iter().filter(near).count().saturating_sub(near_loaded);
+    // Each serves two others at the link's speed, so few that are near could not serve the rest.
+    if near_loaded * CHILDREN >= near_missing {
+        loaded.sort_by_key(|agent| distance(&agent.data_centre, &own.data_centre));
+    }
     let ready = loaded.iter().take(LOADED_ASKED).map(|agent| Source::Agent(agent.address));
     let above = tree(&agents, own, index).into_iter().filter_map(|parent| match parent {
         Parent::Agent(_, address) => Some(Source::Agent(address)),
         Parent::Origin => None,
     });
     // Few that have it could not serve all others; along the trees each serves two.
-    let mut all: Vec<Source> = if loaded.len() * 2 >= agents.len() {
+    let mut all: Vec<Source> = if loaded.len() * CHILDREN >= agents.len() {
         ready.chain(above).collect()
     } else {
         above.chain(ready).collect()
--- a/crates/egret_loader/src/window.rs
+++ b/crates/egret_loader/src/window.rs
@@ -6,8 +6,6 @@
 
 use std::{cell::Cell, time::Duration};
 
-use tokio::sync::Notify;
-
 /// Largest window.
 const WINDOW_MAX: f64 = 16.0;
 /// First window: half a second of a link that carries a tenth of the usual megabits.
@@ -42,19 +40,6 @@
     size: Cell<f64>,
     /// Bound on the size while requests must not queue behind pieces for long.
     most: Cell<f64>,
-    inside: Cell<usize>,
-    left: Notify,
-}
-
-/// The right to fetch one piece, given back when dropped.
-#[derive(Debug)]
-pub(crate) struct Place<'a>(&'a Window);
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        self.0.inside.set(self.0.inside.get() - 1);
-        self.0.left.notify_one();
-    }
 }
 
 /// Returns how many pieces of `bytes` a link of `rate` bytes a second carries in `left`, if it
@@ -76,12 +61,7 @@
 
 impl Default for Window {
     fn default() -> Self {
-        Self {
-            size: Cell::new(WINDOW_FIRST),
-            most: Cell::new(WINDOW_MAX),
-            inside: Cell::new(0),
-            left: Notify::new(),
-        }
+        Self { size: Cell::new(WINDOW_FIRST), most: Cell::new(WINDOW_MAX) }
     }
 }
 
@@ -114,7 +94,6 @@
     /// Bounds the pieces that are asked for from now on.
     pub fn bound(&self, most: f64) {
         self.most.set(most.clamp(WINDOW_FIRST, WINDOW_MAX));
-        self.left.notify_one();
     }
 
     /// Notes how long a fetch took, whatever came of it.
@@ -123,16 +102,4 @@
         let size = if took < LONG { size + GROWTH } else { size / 2.0 };
         self.size.set(size.clamp(WINDOW_MIN, WINDOW_MAX));
     }
-
-    /// Waits until one more piece may be fetched.
-    pub(crate) async fn enter(&self) -> Place<'_> {
-        while self.inside.get() >= self.size() {
-            self.left.notified().await;
-        }
-        self.inside.set(self.inside.get() + 1);
-        if self.inside.get() < self.size() {
-            self.left.notify_one();
-        }
-        Place(self)
-    }
 }
--- a/crates/egret_loader/tests/loading.rs
+++ b/crates/egret_loader/tests/loading.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use egret_fleet::{BEGIN_TIME, Fleet, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting};
-use egret_loader::{Source, Window, fetch_order, pieces_within, sources};
+use egret_loader::{Neighbours, Queue, Source, Window, fetch_order, pieces_within, sources};
 use egret_record::{DataCentre, WeightVersion};
 use egret_weights::{PieceDigest, PieceList, WavePlan};
 use rand::{SeedableRng as _, rngs::SmallRng};
@@ -138,6 +138,28 @@
     }
 }
 
+/// Load: the links of three engines out of four in a data centre were squeezed while a version
+/// was fetched; all other engines have it.
+#[test]
+fn the_only_agent_near_that_has_loaded_a_version_is_not_asked_for_all_pieces() {
+    let mut agents = twelve();
+    let model = LoadedModel { model: "m".to_owned(), version: WeightVersion(1), complete: true };
+    let late = ["side-03", "side-06", "side-09"];
+    for agent in agents.iter_mut().filter(|agent| !late.contains(&agent.name.as_str())) {
+        agent.loaded = Some(egret_fleet::EngineWord { born: 1, models: vec![model.clone()] });
+    }
+    let fleet = fleet(&agents);
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut asked = 0;
+    for own in agents.iter().filter(|agent| late.contains(&agent.name.as_str())) {
+        for piece in 0..96 {
+            let found = sources(&fleet, own, "m", WeightVersion(1), piece, &mut random);
+            asked += usize::from(found[0] == Source::Agent(agents[0].address));
+        }
+    }
+    assert!(asked <= 96, "{asked} pieces of one link, which carries 96 in the time of a version");
+}
+
 /// Load: a link that drops to an eighth while pieces fill it, seconds before weights are due.
 #[test]
 fn squeezed_link_is_free_for_requests_before_weights_are_due() {
@@ -159,3 +181,56 @@
     window.bound(pieces_within(Duration::from_secs(5), bytes, rate));
     assert_eq!(window.size(), 16, "a version that is due later is fetched at full speed");
 }
+
+/// Load: the link of an agent at the top of a tree is squeezed while all fetch a version.
+#[test]
+fn agent_that_is_far_behind_is_passed_over_and_asked_again() {
+    let slow = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    let second = Duration::from_secs(1);
+    let mut neighbours = Neighbours::default();
+    assert!(!neighbours.is_behind(slow, 90, second), "nothing is known of it");
+    // A squeezed link carries four or five pieces a second, a sound one over thirty.
+    neighbours.note(slow, 5, second);
+    assert!(!neighbours.is_behind(slow, 8, second), "both begin");
+    assert!(neighbours.is_behind(slow, 30, second));
+    let later = second * 2;
+    assert!(!neighbours.is_behind(slow, 30, later), "it is asked again");
+    neighbours.asked(slow, later);
+    assert!(neighbours.is_behind(slow, 30, later), "by one question at a time");
+    neighbours.note(slow, 15, later);
+    assert!(!neighbours.is_behind(slow, 30, later), "it has caught up");
+}
+
+/// Load: a data centre is cut off while a version is fetched, so that nobody has the third of its
+/// pieces whose trees begin there, and the origin answers late.
+#[test]
+fn pieces_that_nobody_has_hold_up_no_others() {
+    let agent = |piece: u32| {
+        let port = 7_000 + u16::try_from(piece % 16).expect("a small number");
+        Source::Agent(SocketAddr::from(([127, 0, 0, 1], port)))
+    };
+    let source = |piece: u32| if piece.is_multiple_of(16) { Source::Origin } else { agent(piece) };
+    let lost = |piece: u32| piece % 16 < 6;
+    let mut queue = Queue::new(0..96);
+    let mut came = 0;
+    let mut silent = Vec::new();
+    let mut asked_agents = 0;
+    while came < 60 {
+        let asked = queue.next(16, |piece, _| source(piece)).expect("agents are asked on");
+        if asked.source == Source::Origin {
+            silent.push(asked);
+            assert!(silent.len() <= 2, "the origin's connections are few");
+            continue;
+        }
+        asked_agents += 1;
+        let mut asked = asked;
+        let is_here = !lost(asked.index);
+        if let (false, Source::Agent(address)) = (is_here, asked.source) {
+            asked.patience.later(address);
+        }
+        came += usize::from(is_here);
+        queue.ended(asked, is_here);
+    }
+    // Thirty pieces are asked for in vain, three times each before the others go first.
+    assert!(asked_agents <= 60 + 30 * 4, "{asked_agents} questions for 60 pieces");
+}
--- a/crates/egret_weights/src/tree.rs
+++ b/crates/egret_weights/src/tree.rs
@@ -6,7 +6,7 @@
 //! node in half of the trees and a leaf in the others, and uploads about as
 //! much as it downloads. All agents agree on the trees without talking. The
 //! root of one data centre fetches from the origin, the roots of the others
-//! from it.
+//! from it, or else from the roots of those before them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,7 +16,7 @@
 /// Trees over which chunks take turns, and so the parents of a holder at the most.
 const TREES: usize = 16;
 /// Children of a holder in one tree.
-const CHILDREN: usize = 2;
+pub const CHILDREN: usize = 2;
 
 /// A backend server that holds or wants a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,9 +53,12 @@
     };
     let tree = index as usize % TREES;
     let mut sources = above(tree, own, &mut centres, &centre.data_centre);
-    let first = centres.keys().nth(tree % centres.len()).copied().cloned();
-    if let Some(first) = first.filter(|first| *first != centre.data_centre) {
-        sources.extend(root(tree, &mut centres, &first));
+    let count = centres.len();
+    let names: Vec<DataCentre> = centres.keys().map(|name| (*name).clone()).collect();
+    // The data centres before the own one, from the first: each is asked by those after it.
+    let turned = names.iter().cycle().skip(tree % count).take(count);
+    for before in turned.take_while(|name| **name != centre.data_centre) {
+        sources.extend(root(tree, &mut centres, before));
     }
     sources.push(Parent::Origin);
     sources
