Fetch one piece at a time from the origin, and wait for one that is down

Cause: nineteen agents with two requests each shared the origin's link, so that the last 38 pieces came together after 2.6 s, and took another second along the trees (fetches of 3.7 to 4.1 s where the link needs 2.7 s).

Ruled out: patience alone (the pieces lost their order during the outage and came 0.4 s later).

Change: an agent asks the origin for one piece at a time. Patience with another agent counts from the origin's last failure, and is four seconds; pieces keep their order while the origin fails.

--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -54,6 +54,8 @@
     suspects: RefCell<FastMap<SocketAddr, Instant>>,
     neighbours: RefCell<Neighbours>,
     start: Instant,
+    /// When the origin failed last.
+    origin_failed: Cell<Option<Instant>>,
 }
 
 /// What an agent said of a piece.
@@ -79,6 +81,7 @@
             suspects: RefCell::default(),
             neighbours: RefCell::default(),
             start: Instant::now(),
+            origin_failed: Cell::new(None),
         }
     }
 
@@ -168,12 +171,8 @@
             Source::Agent(address) => match self.piece_of_agent(address, held, index).await {
                 Piece::Here(content) => Some(content),
                 Piece::Later => {
-                    log::info!(
-                        "event=piece_later piece={index} agent={address} own={}",
-                        held.count()
-                    );
-                    patience.later(address);
-                    if patience.is_over(address) {
+                    patience.later(address, self.origin_failed.get());
+                    if patience.is_over(address, self.origin_failed.get()) {
                         log::info!("event=agent_behind piece={index} agent={address}");
                     }
                     return;
@@ -226,7 +225,7 @@
         let neighbours = self.neighbours.borrow();
         let well = |source: &&Source| match source {
             Source::Agent(address) => {
-                !patience.is_over(*address)
+                !patience.is_over(*address, self.origin_failed.get())
                     && !neighbours.is_behind(*address, own, self.start.elapsed())
                     && suspects.get(address).is_none_or(|until| now >= *until)
             }
@@ -241,7 +240,7 @@
 
     async fn piece_of_origin(&self, target: &Target, index: u32) -> Option<Bytes> {
         let asked = self.origin.piece(&target.model, target.version, index);
-        match timeout(ORIGIN_TIMEOUT, asked).await {
+        let content = match timeout(ORIGIN_TIMEOUT, asked).await {
             Ok(Ok(content)) => Some(content),
             Ok(Err(error)) => {
                 log::info!("event=origin_failed piece={index} error=\"{error}\"");
@@ -251,7 +250,11 @@
                 log::info!("event=origin_silent piece={index}");
                 None
             }
+        };
+        if content.is_none() {
+            self.origin_failed.set(Some(Instant::now()));
         }
+        content
     }
 
     async fn piece_of_agent(&self, address: SocketAddr, held: &Held, index: u32) -> Piece {
--- a/crates/egret_loader/src/queue.rs
+++ b/crates/egret_loader/src/queue.rs
@@ -11,11 +11,13 @@
 use crate::sources::Source;
 
 /// Pieces that one agent asks of the origin at once, which limits its connections.
-const ORIGIN_WINDOW: usize = 2;
+const ORIGIN_WINDOW: usize = 1;
 /// Time without a piece after which an agent counts as too slow for it: the origin's link needs
-/// a little less for a whole version.
-const PATIENCE: Duration = Duration::from_secs(3);
+/// under three seconds for a whole version, and the trees some more.
+const PATIENCE: Duration = Duration::from_secs(4);
 
+/// Time after a failure at which the origin counts as back; it is asked more often than that.
+const ORIGIN_BACK: Duration = Duration::from_secs(1);
 /// Answers without a piece after which the others go first; until then it is on its way, most
 /// likely, along a tree of a few agents.
 const FRONT_TRIES: u32 = 3;
@@ -28,16 +30,22 @@
 }
 
 impl Patience {
-    /// Notes that an agent does not have the piece yet.
-    pub fn later(&mut self, address: SocketAddr) {
+    /// Notes that an agent does not have the piece yet; `failed` is when the origin failed last.
+    pub fn later(&mut self, address: SocketAddr, failed: Option<Instant>) {
         self.first.entry(address).or_insert_with(Instant::now);
-        self.tries += 1;
+        // While the origin is down the pieces keep their order, in which they come afterwards.
+        if failed.is_none_or(|failed| failed.elapsed() >= ORIGIN_BACK) {
+            self.tries += 1;
+        }
     }
 
     /// Tells whether an agent is so far behind that others are asked.
+    ///
+    /// Nobody is behind while the origin fails; `failed` is when it did so last.
     #[must_use]
-    pub fn is_over(&self, address: SocketAddr) -> bool {
-        self.first.get(&address).is_some_and(|first| first.elapsed() >= PATIENCE)
+    pub fn is_over(&self, address: SocketAddr, failed: Option<Instant>) -> bool {
+        let Some(first) = self.first.get(&address) else { return false };
+        failed.map_or(*first, |failed| failed.max(*first)).elapsed() >= PATIENCE
     }
 
     /// Begins anew with all agents.
--- a/crates/egret_loader/tests/loading.rs
+++ b/crates/egret_loader/tests/loading.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use egret_fleet::{BEGIN_TIME, Fleet, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting};
-use egret_loader::{Neighbours, Queue, Source, Window, fetch_order, pieces_within, sources};
+use egret_loader::{
+    Neighbours, Patience, Queue, Source, Window, fetch_order, pieces_within, sources,
+};
 use egret_record::{DataCentre, WeightVersion};
 use egret_weights::{PieceDigest, PieceList, WavePlan};
 use rand::{SeedableRng as _, rngs::SmallRng};
@@ -226,7 +228,7 @@
         let mut asked = asked;
         let is_here = !lost(asked.index);
         if let (false, Source::Agent(address)) = (is_here, asked.source) {
-            asked.patience.later(address);
+            asked.patience.later(address, None);
         }
         came += usize::from(is_here);
         queue.ended(asked, is_here);
@@ -234,3 +236,19 @@
     // Thirty pieces are asked for in vain, three times each before the others go first.
     assert!(asked_agents <= 60 + 30 * 4, "{asked_agents} questions for 60 pieces");
 }
+
+/// Load: the origin is down for six seconds in the middle of a fetch, so that no agent gets on.
+#[tokio::test(start_paused = true)]
+async fn agents_are_not_left_for_the_origin_because_it_failed() {
+    let parent = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    let mut patience = Patience::default();
+    patience.later(parent, None);
+    tokio::time::advance(Duration::from_secs(6)).await;
+    let failed = Some(tokio::time::Instant::now());
+    assert!(!patience.is_over(parent, failed), "it could not have the piece");
+    tokio::time::advance(Duration::from_secs(3)).await;
+    assert!(!patience.is_over(parent, failed), "the version needs this time to come");
+    tokio::time::advance(Duration::from_secs(1)).await;
+    assert!(patience.is_over(parent, failed));
+    assert!(patience.is_over(parent, None));
+}
