Tell callers to come back when weights can be there

Callers, who come back once, were told one to two seconds and were refused again.

Change: who is refused because no engine has the weights is told two to four seconds: a fetch takes three, a load one or two.

--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -33,10 +33,11 @@
 const PLAIN_WAIT: Duration = Duration::from_millis(600);
 /// Longest wait for a place of a stream that has begun.
 const REJOIN_WAIT: Duration = Duration::from_millis(900);
-/// When a caller shall come back after a refusal: at least so late.
-const RETRY_MIN_MS: u64 = 1_000;
-/// When a caller shall come back after a refusal: at most so late, so that they spread.
-const RETRY_MAX_MS: u64 = 2_000;
+/// When a caller shall come back, in milliseconds, if all places are taken.
+const RETRY_MS: std::ops::Range<u64> = 1_000..2_000;
+/// When a caller shall come back, in milliseconds, if no engine has the weights that are due:
+/// fetching takes about three seconds, and loading one or two.
+const NO_WEIGHTS_RETRY_MS: std::ops::Range<u64> = 2_000..4_000;
 /// Time that is too short for another try.
 const USEFUL_TIME: Duration = Duration::from_millis(150);
 
@@ -110,7 +111,7 @@
         let tables = self.tables();
         if tables.catalog.is_none() || self.is_closed() {
             let message = "this entry has not heard of the control state; use another entry";
-            return Err(self.spread(Refusal::not_run(Code::NotInService, message)));
+            return Err(self.spread(Refusal::not_run(Code::NotInService, message), RETRY_MS));
         }
         let path = head.uri.path();
         let route =
@@ -250,7 +251,11 @@
             timely: self.timely(job),
             until: now + wait,
         };
-        self.places.acquire(self, wanted).await.map_err(|refusal| self.spread(refusal))
+        let places = self.places.acquire(self, wanted).await;
+        places.map_err(|refusal| match (&refusal.code, &job.call.model) {
+            (Code::NoBackend, Some(_)) => self.spread(refusal, NO_WEIGHTS_RETRY_MS),
+            _ => self.spread(refusal, RETRY_MS),
+        })
     }
 
     /// Returns when a request must get a place to be answered on time.
@@ -317,13 +322,13 @@
             return Ok(());
         }
         let message = "the backend server refused, and too many requests are tried again already";
-        let refusal = self.spread(Refusal::not_run(Code::Overloaded, message));
+        let refusal = self.spread(Refusal::not_run(Code::Overloaded, message), RETRY_MS);
         Err(job.final_refusal(refusal))
     }
 
     /// Says when to come back, so that callers do not return together.
-    fn spread(&self, refusal: Refusal) -> Refusal {
-        let wait = self.random().random_range(RETRY_MIN_MS..RETRY_MAX_MS);
+    fn spread(&self, refusal: Refusal, millis: std::ops::Range<u64>) -> Refusal {
+        let wait = self.random().random_range(millis);
         refusal.retry_after(Duration::from_millis(wait))
     }
 
