Follow the catalog's limits of callers, and keep less for each connection

Cause: heads of 32 KB and idle times of 16 s were constants of the entry.

Change: a connection is served by the limits of the catalog that is in force when it opens. The future of a request is boxed while it runs, and an engine's answer is read by 4 KB.

--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -21,6 +21,8 @@
 
 /// Longest time that connecting may take; an instance without power never answers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Bytes that are read at once from a backend server; an event of a stream has a few hundred.
+const READ_BYTES: usize = 4 * 1024;
 /// Longest time for which an idle connection is kept when the other side says nothing.
 const IDLE_MAX: Duration = Duration::from_secs(4);
 /// Time before the other side's own limit at which an idle connection is given up.
@@ -130,6 +132,7 @@
         stream.set_nodelay(true)?;
         metrics::counter!("egret_gateway_backend_connections_total").increment(1);
         let (sender, connection) = http1::Builder::new()
+            .read_buf_exact_size(Some(READ_BYTES))
             .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use egret_rpc::Follower;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 
-use crate::{Wire, backend::Backend, service::Places, tables::Tables};
+use crate::{Listen, Wire, backend::Backend, service::Places, tables::Tables};
 
 /// Most entries that a caller is told of.
 const ENTRIES_TOLD: usize = 64;
@@ -137,6 +137,16 @@
         self.leaving.get()
     }
 
+    /// Returns how connections of callers are served, by the catalog in force.
+    #[must_use]
+    pub fn listen(&self) -> Listen {
+        let limits = self.tables().catalog.as_ref().map(|one| one.limits).unwrap_or_default();
+        Listen {
+            header_bytes: usize::try_from(limits.header_bytes).unwrap_or(usize::MAX),
+            idle_time: limits.idle_time,
+        }
+    }
+
     /// Lists the entries for a caller of `host` in `region`, in the order in which to use them.
     ///
     /// Those of the caller's region come first; others only where there are none.
--- a/crates/egret_gateway/src/serve.rs
+++ b/crates/egret_gateway/src/serve.rs
@@ -12,6 +12,9 @@
 /// Pause after connections could not be accepted, for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Least space for the head of a request that the library allows, in bytes.
+const HEAD_MIN: usize = 8 * 1024;
+
 /// How connections are served.
 #[derive(Debug, Clone, Copy)]
 pub struct Listen {
@@ -23,10 +26,10 @@
 
 /// Serves connections until `close` turns true, then ends them once their requests are answered.
 ///
-/// Must be awaited within a `LocalSet`.
+/// Each connection is served as `listen` says when it opens. Must be awaited within a `LocalSet`.
 pub async fn serve<H, F>(
     listener: TcpListener,
-    listen: Listen,
+    listen: impl Fn() -> Listen,
     mut close: watch::Receiver<bool>,
     handler: H,
 ) where
@@ -51,17 +54,18 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        let (handler, mut close) = (handler.clone(), close.clone());
+        let (handler, mut close, listen) = (handler.clone(), close.clone(), listen());
         connections.spawn_local(async move {
             let service = service_fn(move |request| {
-                let answer = handler(request);
+                // An idle connection must not hold the space of a request.
+                let answer = Box::pin(handler(request));
                 async { Ok::<_, Infallible>(answer.await) }
             });
             let connection = http1::Builder::new()
                 .auto_date_header(false)
                 .timer(TokioTimer::new())
                 .header_read_timeout(listen.idle_time)
-                .max_buf_size(listen.header_bytes.max(8 * 1024))
+                .max_buf_size(listen.header_bytes.max(HEAD_MIN))
                 .serve_connection(TokioIo::new(stream), service);
             tokio::pin!(connection);
             let closing = async {
