Make no room for lengths that bytes only claim

The persistent maps of the state are decoded by their library, which makes room for as many elements as the bytes claim.

Ruled out: the load (the bytes alone decide), and the other collections (the standard ones take room as elements come).

Change: maps and sets of View, Catalog and CatalogPatch are decoded by way of the standard collections.

Test: claimed_lengths_take_no_memory puts a length of 2^36 at each place of an encoded state; it ended the process before (17 TB) and passes now.

--- a/crates/egret_control/tests/state.rs
+++ b/crates/egret_control/tests/state.rs
@@ -298,6 +298,25 @@
     assert_eq!(holders.expired([silent].into_iter(), at(2_999)), []);
 }
 
+/// Bytes that claim 2^36 elements must not make room for them: that ends the process.
+#[test]
+fn claimed_lengths_take_no_memory() {
+    let claim = [0x80, 0x80, 0x80, 0x80, 0x80, 0x02];
+    let state = State::default().snapshot();
+    for at in 0..state.len() {
+        let bytes = [&state[..at], &claim, &state[at + 1..]].concat();
+        let _ = State::restore(&bytes);
+    }
+    let first = [&claim[..], &[0; 64]].concat();
+    for skipped in 0..8 {
+        let bytes = [vec![0; skipped], first.clone()].concat();
+        let _ = egret_rpc::decode::<Command>(&bytes);
+        let _ = egret_rpc::decode::<egret_record::Delta>(&bytes);
+        let _ = egret_rpc::decode::<egret_record::Catalog>(&bytes);
+        let _ = egret_rpc::decode::<egret_record::CatalogPatch>(&bytes);
+    }
+}
+
 proptest! {
     #[test]
     fn arbitrary_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
--- a/crates/egret_record/src/catalog.rs
+++ b/crates/egret_record/src/catalog.rs
@@ -145,10 +145,13 @@
     /// Its version; the highest is in force.
     pub version: CatalogVersion,
     /// The routes by name.
+    #[serde(deserialize_with = "crate::persistent::map")]
     pub routes: OrdMap<String, Arc<Route>>,
     /// The services by name.
+    #[serde(deserialize_with = "crate::persistent::map")]
     pub services: OrdMap<String, Arc<ServiceSpec>>,
     /// The organisations by name.
+    #[serde(deserialize_with = "crate::persistent::map")]
     pub organisations: OrdMap<String, Arc<OrganisationSpec>>,
     /// What callers may send.
     pub limits: CallerLimits,
@@ -281,8 +284,10 @@
     /// Names of routes that are gone.
     pub removed: Vec<String>,
     /// All services, if any of them changed.
+    #[serde(deserialize_with = "crate::persistent::optional_map")]
     pub services: Option<OrdMap<String, Arc<ServiceSpec>>>,
     /// All organisations, if any of them changed.
+    #[serde(deserialize_with = "crate::persistent::optional_map")]
     pub organisations: Option<OrdMap<String, Arc<OrganisationSpec>>>,
     /// What callers may send.
     pub limits: CallerLimits,
--- a/crates/egret_record/src/lib.rs
+++ b/crates/egret_record/src/lib.rs
@@ -27,6 +27,7 @@
 mod catalog;
 mod digest;
 mod name;
+mod persistent;
 mod record;
 mod schema;
 mod view;
--- a/crates/egret_record/src/view.rs
+++ b/crates/egret_record/src/view.rs
@@ -181,16 +181,21 @@
     /// The revision.
     pub revision: Revision,
     /// The records.
+    #[serde(deserialize_with = "crate::persistent::map")]
     pub records: OrdMap<RecordName, StoredRecord>,
     /// The data centres that are out.
+    #[serde(deserialize_with = "crate::persistent::set")]
     pub out: OrdSet<DataCentre>,
     /// The backend servers.
+    #[serde(deserialize_with = "crate::persistent::map")]
     pub backends: OrdMap<BackendName, Backend>,
     /// The entries.
+    #[serde(deserialize_with = "crate::persistent::map")]
     pub entries: OrdMap<EntryName, Entry>,
     /// The catalog, once one is in force.
     pub catalog: Option<Arc<Catalog>>,
     /// The version of weights that each model's engines shall serve.
+    #[serde(deserialize_with = "crate::persistent::map")]
     pub weights: OrdMap<String, WeightVersion>,
 }
 
