Read over the fetch of pieces: one clock, and no code for tests alone

`sources` was a wrapper that only tests called any more; Neighbours took times since the start of a fetcher beside Patience and the suspects, which take moments; the data centres of a tree were copied for each piece.

Change: the wrapper stands in the test file, which keeps its assertions; Neighbours takes the runtime's moments, so that the fetcher keeps no start of its own; the data centres are borrowed. Behaviour is the same.

Ruled out: one function for "the first later version that is due" of agents and entries, since they differ where namings were dated out of order.

--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -53,7 +53,6 @@
     /// Agents that failed, with when they are asked again.
     suspects: RefCell<FastMap<SocketAddr, Instant>>,
     neighbours: RefCell<Neighbours>,
-    start: Instant,
     /// When the origin failed last.
     origin_failed: Cell<Option<Instant>>,
 }
@@ -80,7 +79,6 @@
             piece_bytes: Cell::new(0),
             suspects: RefCell::default(),
             neighbours: RefCell::default(),
-            start: Instant::now(),
             origin_failed: Cell::new(None),
         }
     }
@@ -226,7 +224,7 @@
         let well = |source: &&Source| match source {
             Source::Agent(address) => {
                 !patience.is_over(*address, self.origin_failed.get())
-                    && !neighbours.is_behind(*address, own, self.start.elapsed())
+                    && !neighbours.is_behind(*address, own, now)
                     && suspects.get(address).is_none_or(|until| now >= *until)
             }
             Source::Origin => true,
@@ -259,7 +257,7 @@
 
     async fn piece_of_agent(&self, address: SocketAddr, held: &Held, index: u32) -> Piece {
         let began = Instant::now();
-        self.neighbours.borrow_mut().asked(address, self.start.elapsed());
+        self.neighbours.borrow_mut().asked(address, began);
         let asked = timeout(AGENT_TIMEOUT, async {
             let connection = self.agents.get(address).await.map_err(|error| failed(&error))?;
             let mut call = connection.client().chunk_request();
@@ -270,7 +268,7 @@
             let progress = answer.get_progress();
             if progress != NOT_FETCHING {
                 let mut neighbours = self.neighbours.borrow_mut();
-                neighbours.note(address, progress as usize, self.start.elapsed());
+                neighbours.note(address, progress as usize, Instant::now());
             }
             let piece = match answer.get_found() {
                 true => Piece::Here(Bytes::copy_from_slice(answer.get_content()?)),
--- a/crates/egret_loader/src/lib.rs
+++ b/crates/egret_loader/src/lib.rs
@@ -30,5 +30,5 @@
 pub use loader::{Loader, LoaderSettings};
 pub use neighbours::Neighbours;
 pub use queue::{Asked, Patience, Queue};
-pub use sources::{Source, SourceTable, fetch_order, sources};
+pub use sources::{Source, SourceTable, fetch_order};
 pub use window::{Window, pieces_within};
--- a/crates/egret_loader/src/neighbours.rs
+++ b/crates/egret_loader/src/neighbours.rs
@@ -6,6 +6,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use egret_record::FastMap;
+use tokio::time::Instant;
 
 /// Time after which an agent that was behind is asked again; it may have caught up.
 const FRESH_TIME: Duration = Duration::from_secs(1);
@@ -17,27 +18,28 @@
 /// What other agents said of their progress.
 ///
 /// ```
-/// use std::time::Duration;
 /// use egret_loader::Neighbours;
+/// use tokio::time::Instant;
 ///
 /// let address = "127.0.0.1:7340".parse().unwrap();
+/// let now = Instant::now();
 /// let mut neighbours = Neighbours::default();
-/// neighbours.note(address, 5, Duration::ZERO);
-/// assert!(neighbours.is_behind(address, 30, Duration::ZERO));
-/// assert!(!neighbours.is_behind(address, 10, Duration::ZERO));
+/// neighbours.note(address, 5, now);
+/// assert!(neighbours.is_behind(address, 30, now));
+/// assert!(!neighbours.is_behind(address, 10, now));
 /// ```
 #[derive(Debug, Default)]
-pub struct Neighbours(FastMap<SocketAddr, (usize, Duration)>);
+pub struct Neighbours(FastMap<SocketAddr, (usize, Instant)>);
 
 impl Neighbours {
     /// Notes that an agent has `pieces` at `now`.
-    pub fn note(&mut self, address: SocketAddr, pieces: usize, now: Duration) {
+    pub fn note(&mut self, address: SocketAddr, pieces: usize, now: Instant) {
         self.0.insert(address, (pieces, now));
     }
 
     /// Notes that an agent is asked at `now`, so that one question at a time finds out whether
     /// it has caught up.
-    pub fn asked(&mut self, address: SocketAddr, now: Duration) {
+    pub fn asked(&mut self, address: SocketAddr, now: Instant) {
         if let Some((_, heard)) = self.0.get_mut(&address) {
             *heard = now;
         }
@@ -45,11 +47,12 @@
 
     /// Tells whether an agent has far fewer pieces than this one, which has `own`.
     #[must_use]
-    pub fn is_behind(&self, address: SocketAddr, own: usize, now: Duration) -> bool {
+    pub fn is_behind(&self, address: SocketAddr, own: usize, now: Instant) -> bool {
         own >= OWN_MIN
-            && self.0.get(&address).is_some_and(|(pieces, heard)| {
-                now.saturating_sub(*heard) < FRESH_TIME && pieces * BEHIND < own
-            })
+            && self
+                .0
+                .get(&address)
+                .is_some_and(|(pieces, heard)| now < *heard + FRESH_TIME && pieces * BEHIND < own)
     }
 
     /// Forgets everything, since another version is fetched.
--- a/crates/egret_loader/src/queue.rs
+++ b/crates/egret_loader/src/queue.rs
@@ -15,7 +15,6 @@
 /// Time without a piece after which an agent counts as too slow for it: the origin's link needs
 /// under three seconds for a whole version, and the trees some more.
 const PATIENCE: Duration = Duration::from_secs(4);
-
 /// Time after a failure at which the origin counts as back; it is asked more often than that.
 const ORIGIN_BACK: Duration = Duration::from_secs(1);
 /// Answers without a piece after which the others go first; until then it is on its way, most
@@ -121,11 +120,11 @@
         if is_here {
             return;
         }
-        let piece = (asked.index, asked.patience);
-        if piece.1.tries < FRONT_TRIES {
-            self.waiting.push_front(piece);
+        let Asked { index, patience, .. } = asked;
+        if patience.tries < FRONT_TRIES {
+            self.waiting.push_front((index, patience));
         } else {
-            self.waiting.push_back(piece);
+            self.waiting.push_back((index, patience));
         }
     }
 
--- a/crates/egret_loader/src/sources.rs
+++ b/crates/egret_loader/src/sources.rs
@@ -24,19 +24,6 @@
     Origin,
 }
 
-/// Lists the sources of a piece for the agent `own`, best first.
-#[must_use]
-pub fn sources(
-    fleet: &Fleet,
-    own: &ProcessStatus,
-    model: &str,
-    version: WeightVersion,
-    index: u32,
-    random: &mut impl Rng,
-) -> Vec<Source> {
-    SourceTable::new(fleet, own, model, version).sources(index, random)
-}
-
 /// The sources of all pieces of a version for one agent, by what a fleet says at one moment.
 #[derive(Debug)]
 pub struct SourceTable {
--- a/crates/egret_loader/tests/loading.rs
+++ b/crates/egret_loader/tests/loading.rs
@@ -4,11 +4,11 @@
 
 use egret_fleet::{BEGIN_TIME, Fleet, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting};
 use egret_loader::{
-    Neighbours, Patience, Queue, Source, Window, fetch_order, pieces_within, sources,
+    Neighbours, Patience, Queue, Source, SourceTable, Window, fetch_order, pieces_within,
 };
 use egret_record::{DataCentre, WeightVersion};
 use egret_weights::{PieceDigest, PieceList, WavePlan};
-use rand::{SeedableRng as _, rngs::SmallRng};
+use rand::{Rng, SeedableRng as _, rngs::SmallRng};
 
 fn agent(name: &str, data_centre: &str, port: u16) -> ProcessStatus {
     ProcessStatus {
@@ -34,6 +34,17 @@
     fleet
 }
 
+fn sources(
+    fleet: &Fleet,
+    own: &ProcessStatus,
+    model: &str,
+    version: WeightVersion,
+    index: u32,
+    random: &mut impl Rng,
+) -> Vec<Source> {
+    SourceTable::new(fleet, own, model, version).sources(index, random)
+}
+
 fn twelve() -> Vec<ProcessStatus> {
     let centres = ["fukuoka", "kagoshima", "kumamoto"];
     (0..12_u16)
@@ -188,14 +199,14 @@
 #[test]
 fn agent_that_is_far_behind_is_passed_over_and_asked_again() {
     let slow = SocketAddr::from(([127, 0, 0, 1], 7_000));
-    let second = Duration::from_secs(1);
+    let first = tokio::time::Instant::now();
     let mut neighbours = Neighbours::default();
-    assert!(!neighbours.is_behind(slow, 90, second), "nothing is known of it");
+    assert!(!neighbours.is_behind(slow, 90, first), "nothing is known of it");
     // A squeezed link carries four or five pieces a second, a sound one over thirty.
-    neighbours.note(slow, 5, second);
-    assert!(!neighbours.is_behind(slow, 8, second), "both begin");
-    assert!(neighbours.is_behind(slow, 30, second));
-    let later = second * 2;
+    neighbours.note(slow, 5, first);
+    assert!(!neighbours.is_behind(slow, 8, first), "both begin");
+    assert!(neighbours.is_behind(slow, 30, first));
+    let later = first + Duration::from_secs(1);
     assert!(!neighbours.is_behind(slow, 30, later), "it is asked again");
     neighbours.asked(slow, later);
     assert!(neighbours.is_behind(slow, 30, later), "by one question at a time");
--- a/crates/egret_weights/src/tree.rs
+++ b/crates/egret_weights/src/tree.rs
@@ -54,10 +54,10 @@
     let tree = index as usize % TREES;
     let mut sources = above(tree, own, &mut centres, &centre.data_centre);
     let count = centres.len();
-    let names: Vec<DataCentre> = centres.keys().map(|name| (*name).clone()).collect();
+    let names: Vec<&DataCentre> = centres.keys().copied().collect();
     // The data centres before the own one, from the first: each is asked by those after it.
     let turned = names.iter().cycle().skip(tree % count).take(count);
-    for before in turned.take_while(|name| **name != centre.data_centre) {
+    for before in turned.take_while(|name| ***name != centre.data_centre) {
         sources.extend(root(tree, &mut centres, before));
     }
     sources.push(Parent::Origin);
