Let another request test a backend server when a caller leaves

Cause: found while reading the change once more. A request that tests a backend server after its breaker opened marks that, and only its outcome took the mark back. When its caller left meanwhile, or when a late request found the place and left it to one that can be on time (Places::acquire), there was no outcome: the entry used that backend server never again, until it said its state anew under another lifetime.

Change: the mark goes with the place. A place that tests gives the mark back when it is dropped, so the two calls that did so for single outcomes are gone.

--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -100,7 +100,6 @@
         Err(_) if Some(wait) == last => {
             // It waits at the engine; begun later, it would be answered by the old weights.
             outcome("expired", &format_args!("reused={}", connection.reused));
-            backend.health.borrow_mut().undecided();
             return Outcome::Broken;
         }
         Err(_) => {
@@ -123,7 +122,6 @@
     }
     if said.not_run {
         outcome("not_run", &format_args!("status={} mismatch={}", head.status, said.mismatch));
-        backend.health.borrow_mut().undecided();
         if !said.mismatch {
             backend.full_until.set(gateway.now() + FULL_TIME);
             backend.was_full(gateway.now());
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -51,6 +51,8 @@
     pub(crate) version: Option<WeightVersion>,
     /// When its weights may not begin an answer any more, if that is soon.
     pub(crate) expires: Option<Duration>,
+    /// Whether the request tests a backend server whose breaker has opened.
+    tests: bool,
     freed: Rc<Notify>,
 }
 
@@ -58,6 +60,10 @@
     fn drop(&mut self) {
         let own = &self.backend.own;
         own.set(own.get().saturating_sub(1));
+        if self.tests {
+            // A caller that leaves learns nothing, and another request must test again.
+            self.backend.health.borrow_mut().undecided();
+        }
         self.freed.notify_one();
     }
 }
@@ -220,6 +226,7 @@
         let backend = open[at].clone();
         backend.pace.borrow_mut().admit(spacing, now);
         backend.health.borrow_mut().sent();
+        let tests = backend.health.borrow().is_suspect();
         backend.own.set(backend.own.get() + 1);
         let status = backend.status.borrow();
         log::debug!(
@@ -235,7 +242,7 @@
             .model
             .as_ref()
             .and_then(|model| gateway.expires(model, backend.version_of(model).max(version), now));
-        Ok(Slot { backend, version, expires, freed: self.freed.clone() })
+        Ok(Slot { backend, version, expires, tests, freed: self.freed.clone() })
     }
 }
 
