Elect a leader at once when all members have restarted

Cause: a member that has just started refuses its vote for one election time, since it may have forgotten that it renewed a leader's lease, and stands only after one to two of them. Ruled out: a shorter election time, which small instances miss for want of processor; keeping the time of the last renewal on disk, which costs a sync for each heartbeat. Change: a member that has just started asks for the votes of all voters instead of a quorum, and others that have just started need not refuse that. Each voter has left all earlier terms, so no earlier leader is left. Of those with the longest log the smallest identity stands. A leader that has written its own removal holds no lease any more, since the others may now elect without it.

--- a/crates/egret_consensus/src/election.rs
+++ b/crates/egret_consensus/src/election.rs
@@ -1,4 +1,11 @@
 //! Elections, with a pre-vote so that a member cut off disturbs nobody.
+//!
+//! A member that has just started may have forgotten that it renewed a leader's
+//! lease, so for one election time it gives no vote to a candidate that needs
+//! only a quorum. After a restart of all members that would be a long wait for
+//! nothing: a candidate may instead ask for the votes of *all* voters. Whoever
+//! votes has left all earlier terms, so when every voter has, no earlier leader
+//! is left whose lease could have been forgotten.
 
 use std::time::Duration;
 
@@ -11,20 +18,53 @@
     types::{Index, Payload, Term},
 };
 
+/// Tries of a member that has just started, within one shortest election time.
+const START_TRIES: u32 = 10;
+
+/// What a candidate says of itself when it asks whether it could win.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ballot {
+    pub(crate) from: MemberId,
+    pub(crate) last: Index,
+    pub(crate) last_term: Term,
+    pub(crate) unanimous: bool,
+}
+
 impl Node {
     /// Tells whether a request for a vote is to be ignored.
     ///
     /// A member that heard its leader lately, or started lately and may have
-    /// forgotten that it did, keeps the leader's lease good.
+    /// forgotten that it did, keeps the leader's lease good. The latter need not
+    /// refuse a candidate that asks every voter, the leader among them.
     pub(crate) fn is_sticky(&self, body: &Body, now: Duration) -> bool {
-        let asks = matches!(body, Body::PreVote { .. } | Body::Vote { .. });
-        asks && (now < self.heard + self.timing.election || self.holds_lease(now))
+        let (Body::PreVote { unanimous, .. } | Body::Vote { unanimous, .. }) = body else {
+            return false;
+        };
+        let waived = *unanimous && !self.was_led;
+        (!waived && now < self.heard + self.timing.election) || self.holds_lease(now)
     }
 
     pub(crate) fn reset_election(&mut self, now: Duration) {
-        let most = self.timing.election.as_micros() as u64;
-        let extra = Duration::from_micros(self.random.random_range(0..=most));
-        self.election_at = now + self.timing.election + extra;
+        let election = self.timing.election;
+        // The lease that a member may have forgotten ends within one election time after its
+        // start; the second is for the others, which may have started later.
+        let starting = !self.was_led && now < self.started + election * 2;
+        let (least, most) = if now == self.started {
+            // The first try tells the others that this member is there.
+            (Duration::ZERO, election / START_TRIES)
+        } else if starting {
+            let most = if self.may_have_forgotten(now) { START_TRIES } else { 2 };
+            (election / START_TRIES, election / most)
+        } else {
+            (election, election)
+        };
+        let extra = Duration::from_micros(self.random.random_range(0..=most.as_micros() as u64));
+        self.election_at = now + least + extra;
+    }
+
+    /// Tells whether this process started so lately that it may have forgotten a leader's lease.
+    fn may_have_forgotten(&self, now: Duration) -> bool {
+        !self.was_led && now < self.started + self.timing.election
     }
 
     pub(crate) fn become_follower(&mut self, term: Term, now: Duration) {
@@ -48,6 +88,7 @@
         }
         self.role = Role::PreCandidate;
         self.leader = None;
+        self.unanimous = self.may_have_forgotten(now);
         self.votes = [self.id].into();
         if self.has_won() {
             self.start_vote(now);
@@ -55,7 +96,7 @@
         }
         let (last, last_term) = (self.log.last(), self.log.last_term());
         let term = Term(self.state.term.0 + 1);
-        self.ask_voters(term, &Body::PreVote { last, last_term });
+        self.ask_voters(term, &Body::PreVote { last, last_term, unanimous: self.unanimous });
     }
 
     fn start_vote(&mut self, now: Duration) {
@@ -69,7 +110,10 @@
             return;
         }
         let (last, last_term) = (self.log.last(), self.log.last_term());
-        self.ask_voters(self.state.term, &Body::Vote { last, last_term });
+        self.ask_voters(
+            self.state.term,
+            &Body::Vote { last, last_term, unanimous: self.unanimous },
+        );
     }
 
     fn ask_voters(&mut self, term: Term, body: &Body) {
@@ -80,14 +124,23 @@
         }
     }
 
-    pub(crate) fn answer_pre_vote(
-        &mut self,
-        from: MemberId,
-        term: Term,
-        last: Index,
-        last_term: Term,
-    ) {
-        let granted = term > self.state.term && self.is_current(last, last_term);
+    pub(crate) fn answer_pre_vote(&mut self, ballot: &Ballot, term: Term, now: Duration) {
+        let Ballot { from, last, last_term, unanimous } = *ballot;
+        let current = self.is_current(last, last_term);
+        // Among equal candidates that ask everybody only one may go on, or none would win.
+        let yields = unanimous
+            && self.may_have_forgotten(now)
+            && self.membership().voters.contains(&self.id)
+            && (!current || (self.is_equal(last, last_term) && self.id < from));
+        let granted = term > self.state.term && current && !yields;
+        if granted && !self.was_led {
+            // Leaves the candidate the time to be elected.
+            self.reset_election(now);
+        } else if yields {
+            // The other one has started, and may be the last whose vote this one lacked.
+            let soon = self.timing.election / (START_TRIES * START_TRIES);
+            self.election_at = self.election_at.min(now + soon);
+        }
         let term = if granted { term } else { self.state.term };
         self.send(from, term, Body::PreVoteReply { granted });
     }
@@ -139,6 +192,7 @@
     fn become_leader(&mut self, now: Duration) {
         self.role = Role::Leader;
         self.leader = Some(self.id);
+        self.was_led = true;
         self.heard = now;
         self.led_since = now;
         self.progress.clear();
@@ -161,10 +215,17 @@
 
     fn has_won(&self) -> bool {
         let membership = self.membership();
+        if self.unanimous {
+            return membership.voters.is_subset(&self.votes);
+        }
         let votes = self.votes.iter().filter(|id| membership.voters.contains(id));
         votes.count() >= membership.quorum()
     }
 
+    fn is_equal(&self, last: Index, last_term: Term) -> bool {
+        (last_term, last) == (self.log.last_term(), self.log.last())
+    }
+
     fn is_current(&self, last: Index, last_term: Term) -> bool {
         (last_term, last) >= (self.log.last_term(), self.log.last())
     }
--- a/crates/egret_consensus/src/message.rs
+++ b/crates/egret_consensus/src/message.rs
@@ -45,6 +45,8 @@
         last: Index,
         /// The term of that index.
         last_term: Term,
+        /// Whether the asker needs every voter instead of a quorum.
+        unanimous: bool,
     },
     /// Answers a pre-vote.
     PreVoteReply {
@@ -57,6 +59,8 @@
         last: Index,
         /// The term of that index.
         last_term: Term,
+        /// Whether the candidate needs every voter instead of a quorum.
+        unanimous: bool,
     },
     /// Answers a request for a vote.
     VoteReply {
--- a/crates/egret_consensus/src/node.rs
+++ b/crates/egret_consensus/src/node.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::{
+    election::Ballot,
     log::Log,
     message::{Body, Envelope},
     types::{ClusterId, HardState, Index, LogEntry, Membership, Payload, Snapshot, Term},
@@ -160,6 +161,12 @@
     pub(crate) election_at: Duration,
     pub(crate) heartbeat_at: Duration,
     pub(crate) votes: BTreeSet<MemberId>,
+    /// Whether this candidate needs every voter instead of a quorum.
+    pub(crate) unanimous: bool,
+    /// When this process started.
+    pub(crate) started: Duration,
+    /// Whether this process has led or followed a leader since it started.
+    pub(crate) was_led: bool,
     pub(crate) progress: BTreeMap<MemberId, Progress>,
     /// The first index of this member's own term as leader.
     pub(crate) term_start: Index,
@@ -198,6 +205,9 @@
             election_at: now,
             heartbeat_at: now,
             votes: BTreeSet::new(),
+            unanimous: false,
+            started: now,
+            was_led: false,
             progress: BTreeMap::new(),
             term_start: Index(0),
             led_since: now,
@@ -241,10 +251,11 @@
             self.become_follower(message.term, now);
         }
         match message.body {
-            Body::PreVote { last, last_term } => {
-                self.answer_pre_vote(message.from, message.term, last, last_term);
+            Body::PreVote { last, last_term, unanimous } => {
+                let ballot = Ballot { from: message.from, last, last_term, unanimous };
+                self.answer_pre_vote(&ballot, message.term, now);
             }
-            Body::Vote { last, last_term } => {
+            Body::Vote { last, last_term, .. } => {
                 self.answer_vote(message.from, message.term, last, last_term, now);
             }
             Body::PreVoteReply { granted } => {
@@ -378,10 +389,13 @@
     /// Tells whether this member may act alone as the leader at `now`.
     ///
     /// A quorum has answered so lately that no other member can have been
-    /// elected, and all that earlier leaders committed is known.
+    /// elected, and all that earlier leaders committed is known. A leader that
+    /// has written its own removal holds none, since the others may elect
+    /// another without it.
     #[must_use]
     pub fn holds_lease(&self, now: Duration) -> bool {
         self.role == Role::Leader
+            && self.membership().voters.contains(&self.id)
             && self.commit >= self.term_start
             && self.quorum_acked(now).is_some_and(|acked| now < acked + self.timing.lease)
     }
--- a/crates/egret_consensus/src/replication.rs
+++ b/crates/egret_consensus/src/replication.rs
@@ -238,6 +238,7 @@
         self.role = Role::Follower;
         self.leader = Some(leader);
         self.heard = now;
+        self.was_led = true;
         self.reset_election(now);
     }
 
--- a/crates/egret_consensus/tests/cluster.rs
+++ b/crates/egret_consensus/tests/cluster.rs
@@ -11,7 +11,7 @@
 };
 
 use egret_consensus::{
-    Envelope, HardState, Index, LogEntry, Member, Membership, Node, Payload, Persisted, Role,
+    Body, Envelope, HardState, Index, LogEntry, Member, Membership, Node, Payload, Persisted, Role,
     Snapshot, Term, Timing,
 };
 use egret_record::MemberId;
@@ -26,6 +26,8 @@
     long_lease: bool,
     reuse_identity: bool,
     forget_entries: bool,
+    /// Members that have just started vote for candidates that need only a quorum.
+    waive_quorum: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -167,6 +169,7 @@
         }
         for message in ready.messages {
             let cut = self.cuts.contains(&(message.from, message.to));
+            let message = if self.guards.waive_quorum { said_to_ask_all(message) } else { message };
             if !cut && self.random.random_range(0..100) >= 3 {
                 let delay = Duration::from_millis(self.random.random_range(1..20));
                 self.network.push((self.now + delay, message));
@@ -262,9 +265,19 @@
         }
     }
 
+    /// Starts most instances again at one moment; what they only remembered is forgotten.
+    fn restart_most(&mut self) {
+        let all: Vec<_> = self.instances.keys().copied().collect();
+        for id in all {
+            if self.random.random_range(0..3) > 0 {
+                self.start(id);
+            }
+        }
+    }
+
     fn disturb(&mut self) {
         let id = self.some_id();
-        match self.random.random_range(0..12) {
+        match self.random.random_range(0..13) {
             0 => {
                 if let Some(instance) = self.instances.get_mut(&id) {
                     instance.node = None;
@@ -303,6 +316,7 @@
             }
             9 => self.change_members(),
             10 => self.compact(),
+            11 => self.restart_most(),
             _ => self.lose_disk(),
         }
     }
@@ -315,6 +329,14 @@
     }
 }
 
+/// Makes voters that have just started take a candidate for one that asks everybody.
+fn said_to_ask_all(mut message: Envelope) -> Envelope {
+    if let Body::PreVote { unanimous, .. } | Body::Vote { unanimous, .. } = &mut message.body {
+        *unanimous = true;
+    }
+    message
+}
+
 fn run(seed: u64, steps: u32, guards: Guards) -> Run {
     let voters = [3, 5][usize::from(seed % 2 == 1)];
     let mut run = Run::new(seed, voters, guards);
@@ -395,3 +417,39 @@
     println!("found={found:?}");
     assert!(found.is_some(), "the checker must notice a vote under an old identity");
 }
+
+/// Pattern: one member has not heard the leader for long; the others start again at one moment, so
+/// that they forget the lease which they renewed just before, and the leader is cut off.
+fn forget_lease(seed: u64, guards: Guards) -> Run {
+    let mut run = Run::new(seed, 5, guards);
+    (0..200).for_each(|_| run.step());
+    let Some(leader) = run.leader() else { return run };
+    let others: Vec<_> = run.instances.keys().copied().filter(|id| *id != leader).collect();
+    run.cuts.insert((leader, others[0]));
+    let pause = run.random.random_range(60..100);
+    (0..pause).for_each(|_| run.step());
+    for id in &others {
+        run.cuts.extend([(leader, *id), (*id, leader)]);
+    }
+    for id in &others[1..] {
+        run.start(*id);
+    }
+    (0..100).for_each(|_| run.step());
+    run
+}
+
+#[test]
+fn restarted_members_keep_a_lease_that_they_have_forgotten() {
+    for seed in 0..500 {
+        let run = forget_lease(seed, Guards::default());
+        assert!(run.violations.is_empty(), "seed {seed}: {:?}", run.violations);
+    }
+}
+
+#[test]
+fn guard_off_restarted_members_vote_for_a_quorum() {
+    let guards = Guards { waive_quorum: true, ..Guards::default() };
+    let found = (0..500).find(|seed| !forget_lease(*seed, guards).violations.is_empty());
+    println!("found={found:?}");
+    assert!(found.is_some(), "the checker must notice a lease that was forgotten");
+}
--- a/crates/egret_rpc/src/convert.rs
+++ b/crates/egret_rpc/src/convert.rs
@@ -26,9 +26,13 @@
     out.set_to(envelope.to.0);
     out.set_term(envelope.term.0);
     match &envelope.body {
-        Body::PreVote { last, last_term } => write_ballot(out.init_pre_vote(), *last, *last_term),
+        Body::PreVote { last, last_term, unanimous } => {
+            write_ballot(out.init_pre_vote(), *last, *last_term, *unanimous);
+        }
         Body::PreVoteReply { granted } => out.set_pre_vote_reply(*granted),
-        Body::Vote { last, last_term } => write_ballot(out.init_vote(), *last, *last_term),
+        Body::Vote { last, last_term, unanimous } => {
+            write_ballot(out.init_vote(), *last, *last_term, *unanimous);
+        }
         Body::VoteReply { granted } => out.set_vote_reply(*granted),
         Body::Append(append) => write_append(append, out.init_append()),
         Body::AppendReply { accepted, index, sent } => {
@@ -61,12 +65,17 @@
             Body::PreVote {
                 last: Index(ballot.get_last()),
                 last_term: Term(ballot.get_last_term()),
+                unanimous: ballot.get_unanimous(),
             }
         }
         Which::PreVoteReply(granted) => Body::PreVoteReply { granted },
         Which::Vote(ballot) => {
             let ballot = ballot?;
-            Body::Vote { last: Index(ballot.get_last()), last_term: Term(ballot.get_last_term()) }
+            Body::Vote {
+                last: Index(ballot.get_last()),
+                last_term: Term(ballot.get_last_term()),
+                unanimous: ballot.get_unanimous(),
+            }
         }
         Which::VoteReply(granted) => Body::VoteReply { granted },
         Which::Append(append) => Body::Append(read_append(append?)?),
@@ -118,9 +127,15 @@
     Ok((MemberId(member.get_identity()), Member::new(name, address)))
 }
 
-fn write_ballot(mut out: schema::ballot::Builder<'_>, last: Index, last_term: Term) {
+fn write_ballot(
+    mut out: schema::ballot::Builder<'_>,
+    last: Index,
+    last_term: Term,
+    unanimous: bool,
+) {
     out.set_last(last.0);
     out.set_last_term(last_term.0);
+    out.set_unanimous(unanimous);
 }
 
 fn write_append(append: &Append, mut out: schema::append::Builder<'_>) {
--- a/crates/egret_schema/schema/egret.capnp
+++ b/crates/egret_schema/schema/egret.capnp
@@ -26,6 +26,8 @@
 struct Ballot {
   last @0 :UInt64;
   lastTerm @1 :UInt64;
+  # Whether the candidate needs every voter instead of a quorum.
+  unanimous @2 :Bool;
 }
 
 struct Append {
--- a/crates/egret_schema/src/egret_capnp.rs
+++ b/crates/egret_schema/src/egret_capnp.rs
@@ -1389,6 +1389,10 @@
         pub fn get_last_term(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_unanimous(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1396,7 +1400,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1483,6 +1487,14 @@
         pub fn set_last_term(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_unanimous(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_unanimous(&mut self, value: bool) {
+            self.builder.set_bool_field(128, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1495,38 +1507,45 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(254, 93, 197, 176, 99, 128, 98, 171),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(132, 101, 62, 155, 240, 193, 167, 210),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 97, 108, 108),
             ::capnp::word(111, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(108, 97, 115, 116, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1544,11 +1563,21 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 97, 110, 105, 109, 111, 117),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1567,9 +1596,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2];
         pub(crate) const TYPE_ID: u64 = 0xab62_8063_b0c5_5dfe;
     }
 }
