--- a/crates/egret_consensus/src/node.rs
+++ b/crates/egret_consensus/src/node.rs
@@ -431,6 +431,7 @@
     #[must_use]
     pub fn caught_up(&self, now: Duration) -> Option<Duration> {
         match self.role {
+            Role::Leader if self.commit < self.term_start => None,
             Role::Leader => self.quorum_acked(now),
             _ => self.leader.and(self.caught_up),
         }
--- a/crates/egret_consensus/src/replication.rs
+++ b/crates/egret_consensus/src/replication.rs
@@ -126,7 +126,8 @@
             }
         }
         self.commit = self.commit.max(append.commit.min(matched));
-        if self.commit >= append.commit {
+        // A new leader does not know what is committed before it has committed in its own term.
+        if self.commit >= append.commit && self.log.term(self.commit) == Some(term) {
             self.caught_up = Some(now);
         }
         self.reply(from, true, matched, append.sent);
--- a/crates/egret_consensus/tests/catch_up.rs
+++ b/crates/egret_consensus/tests/catch_up.rs
@@ -48,3 +48,36 @@
     node.receive(message, at(1_010));
     assert_eq!(node.caught_up(at(1_020)), Some(at(1_010)));
 }
+
+#[test]
+fn member_has_not_caught_up_before_its_new_leader_has_committed() {
+    // Pattern: all members restart, and know what is committed only up to their snapshots.
+    let membership = Membership::of_voters(
+        (1..=3).map(|id| (MemberId(id), Member::new(&format!("m{id}"), "-"))),
+    );
+    let mut persisted = Persisted::first(membership);
+    persisted.hard_state.term = Term(2);
+    let mut node = Node::new(OWN, persisted, Timing::of_election(at(100)), 1, at(0));
+    let started = LogEntry { index: Index(2), term: Term(3), payload: Payload::Empty };
+    let body = Append {
+        previous: Index(1),
+        previous_term: Term(1),
+        entries: vec![started],
+        commit: Index(0),
+        sent: at(10),
+    };
+    let mut message = append(&node, Vec::new(), Index(0), at(10));
+    message.term = Term(3);
+    message.body = Body::Append(body);
+    node.receive(message.clone(), at(10));
+    assert_eq!(node.caught_up(at(11)), None, "the withdrawal of a key may be in the log");
+    message.body = Body::Append(Append {
+        previous: Index(2),
+        previous_term: Term(3),
+        entries: Vec::new(),
+        commit: Index(2),
+        sent: at(30),
+    });
+    node.receive(message, at(30));
+    assert_eq!(node.caught_up(at(31)), Some(at(30)));
+}
--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -423,6 +423,7 @@
         }
         let messages = {
             let mut core = core.borrow_mut();
+            let was_fresh = core.is_fresh();
             for input in batch.drain(..) {
                 core.handle(input);
             }
@@ -430,7 +431,12 @@
             core.node.tick(now);
             core.do_leader_duties();
             core.expire_silent();
-            core.flush()?
+            let messages = core.flush()?;
+            if core.is_fresh() && !was_fresh {
+                // Followers wait for an instance that hears a leader.
+                core.urgent.notify_waiters();
+            }
+            messages
         };
         peers.send(messages, |id| core.borrow().address_of(id).map(str::to_owned));
     }
--- a/crates/egret_control/src/fleet_exchange.rs
+++ b/crates/egret_control/src/fleet_exchange.rs
@@ -15,6 +15,9 @@
 
 /// Pause between two looks at the membership.
 const LOOK_PERIOD: Duration = Duration::from_millis(500);
+/// Pause before an instance that is not well is asked again: after a restart of all, what each
+/// hears reaches the others this late.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for an answer, which may be held back while there is no news.
 const ANSWER_TIMEOUT: Duration = HOLD_TIME.saturating_add(ANSWER_TIME);
 
@@ -61,12 +64,12 @@
                     core.borrow_mut().observe(sighting);
                 }
                 if !answer.fresh {
-                    sleep(LOOK_PERIOD).await;
+                    sleep(RETRY_PAUSE).await;
                 }
             }
             Ok(Err(_)) | Err(_) => {
                 connections.remove(address);
-                sleep(LOOK_PERIOD).await;
+                sleep(RETRY_PAUSE).await;
             }
         }
     }
--- a/crates/egret_control/src/peers.rs
+++ b/crates/egret_control/src/peers.rs
@@ -11,6 +11,9 @@
 const QUEUE_MESSAGES: usize = 256;
 /// Messages to one member that are not answered yet.
 const UNANSWERED_MESSAGES: usize = 128;
+/// Longest time to connect to a member: several round trips between regions. One without power
+/// answers nothing, and messages to it wait meanwhile although it may be back.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest wait for an answer before the connection is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -88,11 +91,15 @@
 
 async fn open(own: IpAddr, address: &str) -> Option<Rc<Connection<control::Client>>> {
     let address = address.parse().ok()?;
-    match Connection::open(own, address).await {
-        Ok(connection) => Some(Rc::new(connection)),
-        Err(error) => {
+    match timeout(CONNECT_TIMEOUT, Connection::open(own, address)).await {
+        Ok(Ok(connection)) => Some(Rc::new(connection)),
+        Ok(Err(error)) => {
             log::debug!("event=member_unreachable address={address} error=\"{error}\"");
             None
         }
+        Err(_) => {
+            log::debug!("event=member_silent address={address}");
+            None
+        }
     }
 }
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -10,8 +10,8 @@
 use egret_fleet::{FeedCursor, Sighting};
 use egret_record::{MemberId, Revision, SessionId};
 use egret_rpc::{
-    Command, HOLD_TIME, MemberStatus, Query, Reply, Request, StatusReply, UnixMillis, Watch,
-    Watched, decode, encode, read_envelope, read_member, schema::control, write_member,
+    Command, HOLD_TIME, LEADER_TIME, MemberStatus, Query, Reply, Request, StatusReply, UnixMillis,
+    Watch, Watched, decode, encode, read_envelope, read_member, schema::control, write_member,
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -131,6 +131,7 @@
             self.core.borrow_mut().observe(&Sighting::Process(process));
         }
         let deadline = Instant::now() + HOLD_TIME;
+        let leaderless = Instant::now() + LEADER_TIME;
         let (mut revision, urgent) = {
             let core = self.core.borrow();
             (core.revision(), core.urgent())
@@ -141,14 +142,22 @@
                 let core = self.core.borrow();
                 let viewed = core.state.view().revision > watch.revision;
                 let news = viewed || core.fleet.feed.is_urgent_after(watch.cursor);
-                if watch.hasty || news || Instant::now() >= deadline || !core.is_fresh() {
+                let now = Instant::now();
+                let ready = match (core.is_fresh(), watch.hasty) {
+                    (true, hasty) => hasty || news || now >= deadline,
+                    // One that looks for an instance that is well has no better one to ask.
+                    (false, true) => now >= leaderless,
+                    (false, false) => true,
+                };
+                if ready {
                     return watched(&core, watch.revision, watch.cursor);
                 }
             }
+            let until = if watch.hasty { leaderless } else { deadline };
             tokio::select! {
                 () = notified => {}
-                _ = revision.wait_for(|known| *known > watch.revision) => {}
-                () = sleep_until(deadline) => {}
+                _ = revision.wait_for(|known| *known > watch.revision), if !watch.hasty => {}
+                () = sleep_until(until) => {}
             }
         }
     }
--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -2,14 +2,13 @@
 
 use std::{
     cell::{Cell, RefCell},
-    net::{IpAddr, SocketAddr},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
 use egret_record::FastMap;
-use egret_rpc::{Connections, schema::peer};
 use egret_weights::PieceList;
 use futures::{
     StreamExt as _,
@@ -19,16 +18,16 @@
 
 use crate::{
     engine::{Engine, EngineError, Origin},
-    holdings::{Held, Target},
+    holdings::{Held, Holdings, Target},
     neighbours::Neighbours,
-    peer::NOT_FETCHING,
+    peer::Peers,
     queue::{Asked, Patience, Queue},
     sources::{Source, fetch_order},
     window::Window,
 };
 
 /// Pieces that are read back and verified at the same time.
-const VERIFY_WINDOW: usize = 4;
+const VERIFY_WINDOW: usize = 12;
 /// Longest wait for a piece from another agent.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Time for which an agent that failed is passed over.
@@ -37,49 +36,57 @@
 const UNKNOWN_TIME: Duration = Duration::from_millis(300);
 /// Pause before the origin is asked again after a failure.
 const ORIGIN_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before sources are looked at again when none can be asked for some piece.
+const SOURCE_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for a piece list from another agent.
 const LIST_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest wait for an answer of the origin, whose link all share.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Fetches pieces for one engine.
-pub(crate) struct Fetcher<E, O> {
+pub struct Fetcher<E, O, P> {
     pub(crate) engine: Rc<E>,
     pub(crate) origin: Rc<O>,
-    agents: Connections<peer::Client>,
+    peers: P,
     pub(crate) window: Window,
     /// Bytes of the last piece that came.
     pub(crate) piece_bytes: Cell<usize>,
     /// Agents that failed, with when they are asked again.
     suspects: RefCell<FastMap<SocketAddr, Instant>>,
     neighbours: RefCell<Neighbours>,
-    /// When the origin failed last.
-    origin_failed: Cell<Option<Instant>>,
+    holdings: Rc<Holdings>,
 }
 
 /// What an agent said of a piece.
 enum Piece {
     /// Here it is.
     Here(Bytes),
-    /// It has none yet.
-    Later,
+    /// It has none yet, but so many others.
+    Later(usize),
     /// It does not fetch the version, or has not heard of it yet.
     Unknown,
     /// It cannot be reached.
     Never,
 }
 
-impl<E: Engine, O: Origin> Fetcher<E, O> {
-    pub(crate) fn new(engine: Rc<E>, origin: O, own: IpAddr) -> Self {
+impl<E, O, P> std::fmt::Debug for Fetcher<E, O, P> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Fetcher").field("window", &self.window).finish_non_exhaustive()
+    }
+}
+
+impl<E: Engine, O: Origin, P: Peers> Fetcher<E, O, P> {
+    /// Fetches from `origin` and `peers` what `engine` lacks of what `holdings` names.
+    pub fn new(engine: Rc<E>, origin: O, peers: P, holdings: Rc<Holdings>) -> Self {
         Self {
             engine,
             origin: Rc::new(origin),
-            agents: Connections::new(own),
+            peers,
             window: Window::default(),
             piece_bytes: Cell::new(0),
             suspects: RefCell::default(),
             neighbours: RefCell::default(),
-            origin_failed: Cell::new(None),
+            holdings,
         }
     }
 
@@ -132,7 +139,7 @@
     }
 
     /// Fetches all that is missing, until `unwanted` ends.
-    pub(crate) async fn fetch_missing(
+    pub async fn fetch_missing(
         &self,
         held: &Held,
         sources: impl Fn(u32) -> Vec<Source>,
@@ -140,20 +147,10 @@
     ) {
         self.window.restart();
         self.neighbours.borrow_mut().clear();
-        let mut queue = Queue::new(fetch_order(held.missing(), &sources));
-        let mut running = FuturesUnordered::new();
         let fetches = async {
-            loop {
-                let best = |index, patience: &_| self.best(&sources(index), patience, held.count());
-                while let Some(mut asked) = queue.next(self.window.size(), best) {
-                    running.push(async move {
-                        self.fetch(held, &mut asked).await;
-                        asked
-                    });
-                }
-                let Some(asked) = running.next().await else { return };
-                let is_here = held.has(asked.index);
-                queue.ended(asked, is_here);
+            // Pieces that lie there may turn bad meanwhile.
+            while !held.missing().is_empty() {
+                self.fetch_once(held, &sources).await;
             }
         };
         tokio::select! {
@@ -162,15 +159,42 @@
         }
     }
 
+    /// Fetches each missing piece until it is there.
+    async fn fetch_once(&self, held: &Held, sources: &impl Fn(u32) -> Vec<Source>) {
+        let mut queue = Queue::new(fetch_order(held.missing(), sources));
+        let mut running = FuturesUnordered::new();
+        loop {
+            let best = |index, patience: &_| self.best(&sources(index), patience, held.count());
+            while let Some(mut asked) = queue.next(self.window.size(), best) {
+                running.push(async move {
+                    self.fetch(held, &mut asked).await;
+                    asked
+                });
+            }
+            if queue.is_empty() && running.is_empty() {
+                return;
+            }
+            // Those that no source can be asked for wait for one that is well again.
+            match timeout(SOURCE_PAUSE, running.next()).await {
+                Ok(Some(asked)) => {
+                    let is_here = held.has(asked.index);
+                    queue.ended(asked, is_here);
+                }
+                Ok(None) => sleep(SOURCE_PAUSE).await,
+                Err(_) => {}
+            }
+        }
+    }
+
     /// Tries to fetch a piece once.
     async fn fetch(&self, held: &Held, asked: &mut Asked) {
         let Asked { index, source, ref mut patience } = *asked;
         let content = match source {
             Source::Agent(address) => match self.piece_of_agent(address, held, index).await {
                 Piece::Here(content) => Some(content),
-                Piece::Later => {
-                    patience.later(address, self.origin_failed.get());
-                    if patience.is_over(address, self.origin_failed.get()) {
+                Piece::Later(progress) => {
+                    patience.later(address, progress);
+                    if patience.is_over(address, self.holdings.stalled.get()) {
                         log::info!("event=agent_behind piece={index} agent={address}");
                     }
                     return;
@@ -216,20 +240,22 @@
     }
 
     /// Returns the first source that has not failed lately and is neither behind this agent,
-    /// which has `own` pieces, nor asked in vain too often; the origin when all are.
-    fn best(&self, sources: &[Source], patience: &Patience, own: usize) -> Source {
+    /// which has `own` pieces, nor asked in vain too often.
+    ///
+    /// When there is none it is the origin, but not at once.
+    fn best(&self, sources: &[Source], patience: &Patience, own: usize) -> Option<Source> {
         let now = Instant::now();
         let suspects = self.suspects.borrow();
         let neighbours = self.neighbours.borrow();
         let well = |source: &&Source| match source {
             Source::Agent(address) => {
-                !patience.is_over(*address, self.origin_failed.get())
+                !patience.is_over(*address, self.holdings.stalled.get())
                     && !neighbours.is_behind(*address, own, now)
                     && suspects.get(address).is_none_or(|until| now >= *until)
             }
-            Source::Origin => true,
+            Source::Origin => sources.first() == Some(source) || patience.is_origin_due(),
         };
-        sources.iter().find(well).copied().unwrap_or(Source::Origin)
+        sources.iter().find(well).copied()
     }
 
     fn suspect(&self, address: SocketAddr, time: Duration) {
@@ -250,76 +276,52 @@
             }
         };
         if content.is_none() {
-            self.origin_failed.set(Some(Instant::now()));
+            self.holdings.stalled.set(Some(Instant::now()));
         }
         content
     }
 
+    /// Asks another agent for a piece; waits no longer than for one that is on its way there.
     async fn piece_of_agent(&self, address: SocketAddr, held: &Held, index: u32) -> Piece {
         let began = Instant::now();
         self.neighbours.borrow_mut().asked(address, began);
-        let asked = timeout(AGENT_TIMEOUT, async {
-            let connection = self.agents.get(address).await.map_err(|error| failed(&error))?;
-            let mut call = connection.client().chunk_request();
-            call.get().set_version(&held.target.key().0);
-            call.get().set_index(index);
-            let answer = call.send().promise.await?;
-            let answer = answer.get()?;
-            let progress = answer.get_progress();
-            if progress != NOT_FETCHING {
-                let mut neighbours = self.neighbours.borrow_mut();
-                neighbours.note(address, progress as usize, Instant::now());
-            }
-            let piece = match answer.get_found() {
-                true => Piece::Here(Bytes::copy_from_slice(answer.get_content()?)),
-                false if progress == NOT_FETCHING => Piece::Unknown,
-                false => Piece::Later,
-            };
-            Ok::<_, capnp::Error>(Some(piece))
-        });
-        let asked = asked.await;
+        let asked = self.peers.piece(address, held.target.key(), index);
+        let answer = timeout(AGENT_TIMEOUT, asked).await;
         self.window.ended(began.elapsed());
-        self.answer_of_agent(address, asked).unwrap_or(Piece::Never)
+        let answer = match answer {
+            Ok(Some(answer)) => answer,
+            Ok(None) => return Piece::Never,
+            Err(_) => {
+                log::debug!("event=agent_silent address={address}");
+                self.peers.leave(address);
+                return Piece::Never;
+            }
+        };
+        if answer.stalled {
+            self.holdings.stalled.set(Some(Instant::now()));
+        }
+        if let Some(progress) = answer.progress {
+            self.neighbours.borrow_mut().note(address, progress, Instant::now());
+        }
+        match (answer.content, answer.progress) {
+            (Some(content), _) => Piece::Here(content),
+            (None, Some(progress)) => Piece::Later(progress),
+            (None, None) => Piece::Unknown,
+        }
     }
 
     async fn list_of_agent(&self, address: SocketAddr, target: &Target) -> Option<PieceList> {
-        let asked = timeout(LIST_TIMEOUT, async {
-            let connection = self.agents.get(address).await.map_err(|error| failed(&error))?;
-            let mut call = connection.client().manifest_request();
-            call.get().set_version(&target.key().0);
-            let answer = call.send().promise.await?;
-            let answer = answer.get()?;
-            let content = answer.get_found().then(|| answer.get_content()).transpose()?;
-            Ok::<_, capnp::Error>(content.and_then(|bytes| egret_rpc::decode(bytes).ok()))
-        });
-        self.answer_of_agent(address, asked.await)
-    }
-
-    fn answer_of_agent<T>(
-        &self,
-        address: SocketAddr,
-        answer: Result<capnp::Result<Option<T>>, tokio::time::error::Elapsed>,
-    ) -> Option<T> {
-        match answer {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => {
-                log::debug!("event=agent_failed address={address} error=\"{error}\"");
-                self.agents.remove(address);
-                None
-            }
+        match timeout(LIST_TIMEOUT, self.peers.list(address, target.key())).await {
+            Ok(list) => list,
             Err(_) => {
                 log::debug!("event=agent_silent address={address}");
-                self.agents.remove(address);
+                self.peers.leave(address);
                 None
             }
         }
     }
 }
 
-fn failed(error: &std::io::Error) -> capnp::Error {
-    capnp::Error::failed(error.to_string())
-}
-
 fn too_late(whom: &str) -> EngineError {
     EngineError::Unreachable(format!("{whom} did not answer in time"))
 }
--- a/crates/egret_loader/src/holdings.rs
+++ b/crates/egret_loader/src/holdings.rs
@@ -2,44 +2,52 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeSet,
+    collections::BTreeMap,
+    time::Duration,
 };
 
 use egret_record::{VersionDigest, WeightVersion};
 use egret_weights::PieceList;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
 /// A version of a model.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub(crate) struct Target {
-    pub(crate) model: String,
-    pub(crate) version: WeightVersion,
+pub struct Target {
+    /// The model.
+    pub model: String,
+    /// The version of its weights.
+    pub version: WeightVersion,
 }
 
 impl Target {
     /// Returns the name of the version between agents.
-    pub(crate) fn key(&self) -> VersionDigest {
+    #[must_use]
+    pub fn key(&self) -> VersionDigest {
         VersionDigest::of(format!("{}@{}", self.model, self.version).as_bytes())
     }
 }
 
 /// The version whose pieces lie at the engine or are being fetched.
 #[derive(Debug)]
-pub(crate) struct Held {
+pub struct Held {
     pub(crate) target: Target,
     pub(crate) list: PieceList,
-    pieces: RefCell<BTreeSet<u32>>,
+    /// The pieces that are there, with when each was found right last.
+    pieces: RefCell<BTreeMap<u32, Instant>>,
     progress: watch::Sender<usize>,
 }
 
 impl Held {
-    pub(crate) fn new(target: Target, list: PieceList) -> Self {
+    /// Holds no piece of a version yet.
+    #[must_use]
+    pub fn new(target: Target, list: PieceList) -> Self {
         let (pieces, progress) = (RefCell::default(), watch::Sender::new(0));
         Self { target, list, pieces, progress }
     }
 
+    /// Notes that a piece lies there and is right.
     pub(crate) fn insert(&self, index: u32) {
-        self.pieces.borrow_mut().insert(index);
+        self.pieces.borrow_mut().insert(index, Instant::now());
         self.progress.send_replace(self.pieces.borrow().len());
     }
 
@@ -50,16 +58,17 @@
     }
 
     pub(crate) fn has(&self, index: u32) -> bool {
-        self.pieces.borrow().contains(&index)
+        self.pieces.borrow().contains_key(&index)
     }
 
     pub(crate) fn progress(&self) -> watch::Receiver<usize> {
         self.progress.subscribe()
     }
 
-    pub(crate) fn missing(&self) -> Vec<u32> {
+    /// Returns the pieces that are not there yet.
+    pub fn missing(&self) -> Vec<u32> {
         let pieces = self.pieces.borrow();
-        (0..self.list.count()).filter(|index| !pieces.contains(index)).collect()
+        (0..self.list.count()).filter(|index| !pieces.contains_key(index)).collect()
     }
 
     /// Returns how many pieces there are.
@@ -68,18 +77,27 @@
     }
 
     pub(crate) fn indexes(&self) -> Vec<u32> {
-        self.pieces.borrow().iter().copied().collect()
+        self.pieces.borrow().keys().copied().collect()
+    }
+
+    /// Returns the pieces that were not found right within the last `age`.
+    pub(crate) fn unverified(&self, age: Duration) -> Vec<u32> {
+        let pieces = self.pieces.borrow();
+        let old = pieces.iter().filter(|(_, verified)| verified.elapsed() > age);
+        old.map(|(index, _)| *index).collect()
     }
 }
 
 /// What this agent holds for others.
 #[derive(Debug, Default)]
-pub(crate) struct Holdings {
+pub struct Holdings {
     held: RefCell<Option<std::rc::Rc<Held>>>,
     /// Notified when another version takes the place of the last.
     replaced: watch::Sender<()>,
     /// Pieces that were sent to other agents.
     pub(crate) sent: Cell<u64>,
+    /// When the origin was known to fail last, by this agent or one that it asked.
+    pub(crate) stalled: Cell<Option<Instant>>,
 }
 
 impl Holdings {
@@ -91,11 +109,19 @@
         self.get().filter(|held| held.target.key() == key)
     }
 
-    pub(crate) fn set(&self, held: std::rc::Rc<Held>) {
+    /// Puts a version in place of the last.
+    pub fn set(&self, held: std::rc::Rc<Held>) {
         self.held.replace(Some(held));
         self.replaced.send_replace(());
     }
 
+    /// Tells whether the origin is known to fail.
+    pub(crate) fn is_stalled(&self) -> bool {
+        /// Time after a failure at which the origin counts as back; it is asked more often.
+        const BACK_TIME: Duration = Duration::from_secs(1);
+        self.stalled.get().is_some_and(|failed| failed.elapsed() < BACK_TIME)
+    }
+
     pub(crate) fn replaced(&self) -> watch::Receiver<()> {
         self.replaced.subscribe()
     }
--- a/crates/egret_loader/src/lib.rs
+++ b/crates/egret_loader/src/lib.rs
@@ -27,8 +27,11 @@
 mod window;
 
 pub use engine::{Engine, EngineError, EngineReport, Origin};
+pub use fetch::Fetcher;
+pub use holdings::{Held, Holdings, Target};
 pub use loader::{Loader, LoaderSettings};
 pub use neighbours::Neighbours;
+pub use peer::{PeerServer, Peers, PieceAnswer};
 pub use queue::{Asked, Patience, Queue};
 pub use sources::{Source, SourceTable, fetch_order};
 pub use window::{Window, pieces_within};
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -13,7 +13,7 @@
     engine::{Engine, EngineError, EngineReport, Origin},
     fetch::Fetcher,
     holdings::{Held, Holdings, Target},
-    peer::PeerServer,
+    peer::{PeerServer, RpcPeers},
     sources::{Source, SourceTable},
     window::pieces_within,
 };
@@ -28,6 +28,9 @@
 const HEARD_TIME: Duration = Duration::from_millis(60);
 /// Time for which sources that were worked out are used; the fleet changes that fast.
 const TABLE_TIME: Duration = Duration::from_millis(100);
+/// Time for which a piece that was verified counts as right: pieces may turn bad while they lie
+/// there, and reading them all back takes some tenths of a second.
+const VERIFIED_TIME: Duration = Duration::from_secs(1);
 /// Pause after a failure.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
@@ -51,7 +54,7 @@
     settings: LoaderSettings,
     follower: Rc<Follower>,
     holdings: Rc<Holdings>,
-    fetcher: Fetcher<E, O>,
+    fetcher: Fetcher<E, O, RpcPeers>,
     engine: Rc<E>,
     /// The version that was wanted last.
     wanted: RefCell<Option<Target>>,
@@ -79,8 +82,9 @@
     pub fn new(settings: LoaderSettings, follower: Rc<Follower>, engine: E, origin: O) -> Self {
         let engine = Rc::new(engine);
         let own = settings.process.address.ip();
-        let fetcher = Fetcher::new(engine.clone(), origin, own);
-        let holdings = Rc::default();
+        let holdings: Rc<Holdings> = Rc::default();
+        let peers = RpcPeers::new(own);
+        let fetcher = Fetcher::new(engine.clone(), origin, peers, holdings.clone());
         Self {
             settings,
             follower,
@@ -333,23 +337,24 @@
         let target = &held.target;
         if let Some(loaded) = loaded {
             self.wait_for_turn(target, loaded).await;
-            if !self.is_wanted(target) {
-                return Ok(());
-            }
-            self.set_switching(true);
-            sleep(HEARD_TIME).await;
         }
-        // Pieces may turn bad while they lie there, so they are verified right before.
-        self.fetcher.verify(held, held.indexes()).await;
+        // The engine goes on serving meanwhile.
+        self.fetcher.verify(held, held.unverified(VERIFIED_TIME)).await;
+        if !self.is_wanted(target) {
+            return Ok(());
+        }
         if !held.missing().is_empty() {
             log::warn!(
                 "event=pieces_spoilt version={} count={}",
                 target.version,
                 held.missing().len()
             );
-            self.set_switching(false);
             return Ok(());
         }
+        if loaded.is_some() {
+            self.set_switching(true);
+            sleep(HEARD_TIME).await;
+        }
         log::info!("event=load_ordered model={} version={}", target.model, target.version);
         let ordered = self.engine.load(&target.model, target.version).await;
         let deadline = self.follower.now() + LOAD_TIMEOUT;
--- a/crates/egret_loader/src/peer.rs
+++ b/crates/egret_loader/src/peer.rs
@@ -1,11 +1,16 @@
-//! Pieces for other agents.
+//! Pieces between agents.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use egret_record::VersionDigest;
-use egret_rpc::{read_version_digest, schema::peer};
-use egret_weights::Bucket;
+use egret_rpc::{Connections, read_version_digest, schema::peer};
+use egret_weights::{Bucket, PieceList};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
@@ -19,10 +24,120 @@
 /// Longest wait for a version that may be named here in a moment.
 const NAMING_WAIT: Duration = Duration::from_millis(125);
 /// Says that this agent does not fetch the version, in place of its progress.
-pub(crate) const NOT_FETCHING: u32 = u32::MAX;
+const NOT_FETCHING: u32 = u32::MAX;
+
+/// What an agent said when it was asked for a piece.
+#[derive(Debug, Clone)]
+pub struct PieceAnswer {
+    /// The piece, if it is there.
+    pub content: Option<Bytes>,
+    /// How many pieces of the version are there; none while the agent does not fetch it.
+    pub progress: Option<usize>,
+    /// Whether the origin is known to fail, so that nobody can get on.
+    pub stalled: bool,
+}
+
+/// Other agents, from which pieces are fetched.
+pub trait Peers: 'static {
+    /// Asks an agent for a piece of the version `key`; none when it cannot be reached.
+    fn piece(
+        &self,
+        address: SocketAddr,
+        key: VersionDigest,
+        index: u32,
+    ) -> impl Future<Output = Option<PieceAnswer>>;
+
+    /// Asks an agent for the piece list of the version `key`; none when it has none.
+    fn list(
+        &self,
+        address: SocketAddr,
+        key: VersionDigest,
+    ) -> impl Future<Output = Option<PieceList>>;
+
+    /// Closes what is open to an agent that did not answer.
+    fn leave(&self, address: SocketAddr);
+}
+
+/// Other agents, over the protocol between the processes.
+#[derive(Debug)]
+pub(crate) struct RpcPeers(Connections<peer::Client>);
+
+impl RpcPeers {
+    /// Connects from the address `own`.
+    pub(crate) fn new(own: IpAddr) -> Self {
+        Self(Connections::new(own))
+    }
+
+    async fn client(&self, address: SocketAddr) -> capnp::Result<peer::Client> {
+        let connection = self.0.get(address).await;
+        let connection = connection.map_err(|error| capnp::Error::failed(error.to_string()))?;
+        Ok(connection.client())
+    }
+
+    async fn ask_piece(
+        &self,
+        address: SocketAddr,
+        key: VersionDigest,
+        index: u32,
+    ) -> capnp::Result<PieceAnswer> {
+        let mut call = self.client(address).await?.chunk_request();
+        call.get().set_version(&key.0);
+        call.get().set_index(index);
+        let answer = call.send().promise.await?;
+        let answer = answer.get()?;
+        let content = answer.get_found().then(|| answer.get_content()).transpose()?;
+        let progress = answer.get_progress();
+        Ok(PieceAnswer {
+            content: content.map(Bytes::copy_from_slice),
+            progress: (progress != NOT_FETCHING).then_some(progress as usize),
+            stalled: answer.get_stalled(),
+        })
+    }
+
+    async fn ask_list(
+        &self,
+        address: SocketAddr,
+        key: VersionDigest,
+    ) -> capnp::Result<Option<PieceList>> {
+        let mut call = self.client(address).await?.manifest_request();
+        call.get().set_version(&key.0);
+        let answer = call.send().promise.await?;
+        let answer = answer.get()?;
+        let content = answer.get_found().then(|| answer.get_content()).transpose()?;
+        let list = content.map(egret_rpc::decode).transpose();
+        list.map_err(|error| capnp::Error::failed(error.to_string()))
+    }
+
+    fn failed(&self, address: SocketAddr, error: &capnp::Error) {
+        log::debug!("event=agent_failed address={address} error=\"{error}\"");
+        self.leave(address);
+    }
+}
+
+impl Peers for RpcPeers {
+    async fn piece(
+        &self,
+        address: SocketAddr,
+        key: VersionDigest,
+        index: u32,
+    ) -> Option<PieceAnswer> {
+        let asked = self.ask_piece(address, key, index).await;
+        asked.inspect_err(|error| self.failed(address, error)).ok()
+    }
+
+    async fn list(&self, address: SocketAddr, key: VersionDigest) -> Option<PieceList> {
+        let asked = self.ask_list(address, key).await;
+        asked.inspect_err(|error| self.failed(address, error)).ok().flatten()
+    }
+
+    fn leave(&self, address: SocketAddr) {
+        self.0.remove(address);
+    }
+}
 
 /// Serves pieces to other agents.
-pub(crate) struct PeerServer<E> {
+#[derive(Debug)]
+pub struct PeerServer<E> {
     holdings: Rc<Holdings>,
     engine: Rc<E>,
     /// Shares the link with the answers of the engine.
@@ -32,11 +147,22 @@
 
 impl<E: Engine> PeerServer<E> {
     /// Makes a server that sends at most `upload` bytes a second.
-    pub(crate) fn new(holdings: Rc<Holdings>, engine: Rc<E>, upload: u64) -> Self {
+    pub fn new(holdings: Rc<Holdings>, engine: Rc<E>, upload: u64) -> Self {
         let upload = RefCell::new(Bucket::new(upload));
         Self { holdings, engine, upload, start: Instant::now() }
     }
 
+    /// Waits for a piece that is on its way, and returns it once the link has room for it.
+    pub async fn piece(&self, key: VersionDigest, index: u32) -> PieceAnswer {
+        let content = self.find(key, index).await;
+        if let Some(content) = &content {
+            self.pay(content.len()).await;
+            self.holdings.sent.set(self.holdings.sent.get() + 1);
+        }
+        let progress = self.holdings.find(key).map(|held| held.count());
+        PieceAnswer { content, progress, stalled: self.holdings.is_stalled() }
+    }
+
     /// Waits until the link has room for so many bytes.
     async fn pay(&self, bytes: usize) {
         let wait = self.upload.borrow_mut().take(bytes as u64, self.start.elapsed());
@@ -98,16 +224,15 @@
             let params = params.get()?;
             (read_version_digest(params.get_version()?)?, params.get_index())
         };
-        if let Some(content) = self.find(key, index).await {
-            self.pay(content.len()).await;
-            self.holdings.sent.set(self.holdings.sent.get() + 1);
-            let mut answer = results.get();
+        let found = self.piece(key, index).await;
+        let mut answer = results.get();
+        if let Some(content) = &found.content {
             answer.set_found(true);
-            answer.set_content(&content);
+            answer.set_content(content);
         }
-        let held = self.holdings.find(key).map(|held| held.count());
-        let progress = held.and_then(|count| u32::try_from(count).ok());
-        results.get().set_progress(progress.unwrap_or(NOT_FETCHING));
+        let progress = found.progress.and_then(|count| u32::try_from(count).ok());
+        answer.set_progress(progress.unwrap_or(NOT_FETCHING));
+        answer.set_stalled(found.stalled);
         Ok(())
     }
 
--- a/crates/egret_loader/src/queue.rs
+++ b/crates/egret_loader/src/queue.rs
@@ -10,46 +10,69 @@
 
 use crate::sources::Source;
 
-/// Pieces that one agent asks of the origin at once, which limits its connections.
-const ORIGIN_WINDOW: usize = 1;
+/// Pieces that one agent asks of the origin at once: the next one is on its way while one comes.
+const ORIGIN_WINDOW: usize = 2;
 /// Time without a piece after which an agent counts as too slow for it: the origin's link needs
 /// under three seconds for a whole version, and the trees some more.
 const PATIENCE: Duration = Duration::from_secs(4);
-/// Time after a failure at which the origin counts as back; it is asked more often than that.
-const ORIGIN_BACK: Duration = Duration::from_secs(1);
+/// Pieces that an agent gets while it lacks one, after which it counts as too slow for that one:
+/// more than are on their way at once along the trees.
+const PASSED_BY: usize = 32;
+/// Time for which a piece is waited for, when no agent can be asked for it, before the origin is.
+const ORIGIN_WAIT: Duration = Duration::from_millis(1_500);
 /// Answers without a piece after which the others go first; until then it is on its way, most
 /// likely, along a tree of a few agents.
 const FRONT_TRIES: u32 = 3;
 
-/// When agents said first that they do not have one piece yet, and how often.
+/// What agents said first when they did not have one piece yet.
 #[derive(Debug, Default)]
 pub struct Patience {
-    first: FastMap<SocketAddr, Instant>,
+    first: FastMap<SocketAddr, Lack>,
+    /// Since when the piece is waited for.
+    since: Option<Instant>,
     tries: u32,
 }
 
+/// When an agent said first that it lacks a piece, and how many others it had then.
+#[derive(Debug, Clone, Copy)]
+struct Lack {
+    said: Instant,
+    progress: usize,
+    /// How many it had when it said so last.
+    latest: usize,
+}
+
 impl Patience {
-    /// Notes that an agent does not have the piece yet; `failed` is when the origin failed last.
-    pub fn later(&mut self, address: SocketAddr, failed: Option<Instant>) {
-        self.first.entry(address).or_insert_with(Instant::now);
-        // While the origin is down the pieces keep their order, in which they come afterwards.
-        if failed.is_none_or(|failed| failed.elapsed() >= ORIGIN_BACK) {
-            self.tries += 1;
-        }
+    /// Notes that an agent, which has `progress` pieces, does not have this one yet.
+    pub fn later(&mut self, address: SocketAddr, progress: usize) {
+        let said = Instant::now();
+        let lack = self.first.entry(address).or_insert(Lack { said, progress, latest: progress });
+        lack.latest = progress;
+        self.tries += 1;
     }
 
-    /// Tells whether an agent is so far behind that others are asked.
+    /// Tells whether an agent is so far behind with this piece that others are asked.
     ///
     /// Nobody is behind while the origin fails; `failed` is when it did so last.
     #[must_use]
     pub fn is_over(&self, address: SocketAddr, failed: Option<Instant>) -> bool {
-        let Some(first) = self.first.get(&address) else { return false };
-        failed.map_or(*first, |failed| failed.max(*first)).elapsed() >= PATIENCE
+        let Some(lack) = self.first.get(&address) else { return false };
+        lack.latest >= lack.progress + PASSED_BY
+            || failed.map_or(lack.said, |failed| failed.max(lack.said)).elapsed() >= PATIENCE
+    }
+
+    /// Tells whether the origin may be asked, now that no agent can be.
+    ///
+    /// All agents hear of a version at slightly different times, so the first ones wait.
+    #[must_use]
+    pub fn is_origin_due(&self) -> bool {
+        self.since.is_some_and(|since| since.elapsed() >= ORIGIN_WAIT)
     }
 
     /// Begins anew with all agents.
     pub fn clear(&mut self) {
         self.first.clear();
+        self.since = None;
     }
 }
 
@@ -70,10 +93,10 @@
 /// use egret_loader::{Queue, Source};
 ///
 /// let mut queue = Queue::new(0..3);
-/// let asked = queue.next(1, |_, _| Source::Origin).unwrap();
+/// let asked = queue.next(1, |_, _| Some(Source::Origin)).unwrap();
 /// assert_eq!(asked.index, 0);
 /// queue.ended(asked, true);
-/// assert_eq!(queue.next(1, |_, _| Source::Origin).unwrap().index, 1);
+/// assert_eq!(queue.next(1, |_, _| Some(Source::Origin)).unwrap().index, 1);
 /// ```
 #[derive(Debug)]
 pub struct Queue {
@@ -89,19 +112,30 @@
         Self { waiting, agents: 0, origin: 0 }
     }
 
-    /// Takes the first piece whose source has room; at most `window` are asked of agents at once.
+    /// Tells whether no piece waits to be asked for.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes the first piece that has a source with room; at most `window` are asked of agents at
+    /// once.
     pub fn next(
         &mut self,
         window: usize,
-        source: impl Fn(u32, &Patience) -> Source,
+        source: impl Fn(u32, &Patience) -> Option<Source>,
     ) -> Option<Asked> {
         let agents_full = self.agents >= window;
         let origin_full = self.origin >= ORIGIN_WINDOW;
         if agents_full && origin_full {
             return None;
         }
-        let found = self.waiting.iter().enumerate().find_map(|(at, (index, patience))| {
-            let source = source(*index, patience);
+        let now = Instant::now();
+        let found = self.waiting.iter_mut().enumerate().find_map(|(at, (index, patience))| {
+            let Some(source) = source(*index, patience) else {
+                patience.since.get_or_insert(now);
+                return None;
+            };
             let is_full = match source {
                 Source::Agent(_) => agents_full,
                 Source::Origin => origin_full,
--- a/crates/egret_loader/tests/loading.rs
+++ b/crates/egret_loader/tests/loading.rs
@@ -229,7 +229,7 @@
     let mut silent = Vec::new();
     let mut asked_agents = 0;
     while came < 60 {
-        let asked = queue.next(16, |piece, _| source(piece)).expect("agents are asked on");
+        let asked = queue.next(16, |piece, _| Some(source(piece))).expect("agents are asked on");
         if asked.source == Source::Origin {
             silent.push(asked);
             assert!(silent.len() <= 2, "the origin's connections are few");
@@ -239,7 +239,7 @@
         let mut asked = asked;
         let is_here = !lost(asked.index);
         if let (false, Source::Agent(address)) = (is_here, asked.source) {
-            asked.patience.later(address, None);
+            asked.patience.later(address, came);
         }
         came += usize::from(is_here);
         queue.ended(asked, is_here);
@@ -253,7 +253,7 @@
 async fn agents_are_not_left_for_the_origin_because_it_failed() {
     let parent = SocketAddr::from(([127, 0, 0, 1], 7_000));
     let mut patience = Patience::default();
-    patience.later(parent, None);
+    patience.later(parent, 40);
     tokio::time::advance(Duration::from_secs(6)).await;
     let failed = Some(tokio::time::Instant::now());
     assert!(!patience.is_over(parent, failed), "it could not have the piece");
--- /dev/null
+++ b/crates/egret_loader/tests/spread.rs
@@ -0,0 +1,392 @@
+//! How long a version takes to all agents, in virtual time.
+//!
+//! The fetching code is the real one; links, origin and engines are models. Lengths and rates are a
+//! 256th of the users' (24,576 bytes a piece, 7.3 Mbit/s a link), so that times are the same.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use egret_fleet::{Fleet, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting};
+use egret_loader::{
+    Engine, EngineError, EngineReport, Fetcher, Held, Holdings, Origin, PeerServer, Peers,
+    PieceAnswer, Source, SourceTable, Target,
+};
+use egret_record::{DataCentre, FastMap, VersionDigest, WeightVersion};
+use egret_weights::{PieceDigest, PieceList};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use tokio::{
+    task::{LocalSet, spawn_local},
+    time::{Instant, sleep, sleep_until},
+};
+
+const PIECES: u32 = 96;
+const PIECE_BYTES: usize = 96;
+/// Bytes that pass a link before another transfer on it has its turn.
+const TURN_BYTES: usize = 16;
+/// Bytes a second of each link and of the origin's.
+const LINK: f64 = 7_300_000.0 / 8.0 / 256.0;
+/// Part of a link that agents use for others.
+const UPLOAD_PART: f64 = 0.85;
+/// Time of one copy over the origin's link.
+const COPY_TIME: f64 = PIECES as f64 * PIECE_BYTES as f64 / LINK;
+const MODEL: &str = "m";
+
+/// A link whose transfers take turns.
+#[derive(Debug)]
+struct Link {
+    rate: f64,
+    free: Cell<Instant>,
+    sent: Cell<usize>,
+}
+
+impl Link {
+    fn new(rate: f64) -> Self {
+        Self { rate, free: Cell::new(Instant::now()), sent: Cell::new(0) }
+    }
+
+    /// Takes the next turn on the link, and returns when it ends.
+    fn turn(&self, bytes: usize) -> Instant {
+        let begin = self.free.get().max(Instant::now());
+        let end = begin + Duration::from_secs_f64(bytes as f64 / self.rate);
+        self.free.set(end);
+        self.sent.set(self.sent.get() + bytes);
+        end
+    }
+
+    /// Carries bytes over this link and then, as they come, over the next one.
+    async fn carry(&self, bytes: usize, next: &Self) {
+        let mut last = Instant::now();
+        for turn in 0..bytes.div_ceil(TURN_BYTES) {
+            let part = TURN_BYTES.min(bytes - turn * TURN_BYTES);
+            sleep_until(self.turn(part)).await;
+            last = next.turn(part);
+        }
+        sleep_until(last).await;
+    }
+}
+
+/// What happens in a run.
+#[derive(Debug, Clone, Copy, Default)]
+struct Story {
+    /// When the origin answers nothing, counted from the first naming.
+    outage: Option<(f64, f64)>,
+    /// Part of its rate that the link of one agent carries.
+    squeezed: Option<f64>,
+    /// A second version is named this much later.
+    second: Option<f64>,
+    /// Agents whose engines spoil pieces that lie there.
+    rot: usize,
+}
+
+struct World {
+    start: Instant,
+    story: Story,
+    origin: Link,
+    agents: RefCell<FastMap<SocketAddr, Rc<Agent>>>,
+    fleet: Fleet,
+}
+
+struct Agent {
+    status: ProcessStatus,
+    down: Link,
+    up: Link,
+    holdings: Rc<Holdings>,
+    server: PeerServer<Staging>,
+    engine: Rc<Staging>,
+}
+
+/// An engine that only keeps what is laid down.
+#[derive(Debug)]
+struct Staging {
+    pieces: RefCell<BTreeMap<u32, Bytes>>,
+    random: RefCell<SmallRng>,
+    spoils: Cell<bool>,
+}
+
+impl Engine for Staging {
+    async fn report(&self) -> Result<EngineReport, EngineError> {
+        Ok(EngineReport::default())
+    }
+
+    async fn staged(&self, _: &str) -> Result<Vec<u32>, EngineError> {
+        Ok(self.pieces.borrow().keys().copied().collect())
+    }
+
+    async fn read(&self, _: &str, index: u32) -> Result<Option<Bytes>, EngineError> {
+        sleep(Duration::from_millis(2)).await;
+        Ok(self.pieces.borrow().get(&index).cloned())
+    }
+
+    async fn stage(&self, _: &str, index: u32, content: Bytes) -> Result<(), EngineError> {
+        sleep(Duration::from_millis(2)).await;
+        let spoilt = self.spoils.get() && self.random.borrow_mut().random_range(0..10) == 0;
+        let content = if spoilt { Bytes::from_static(b"rotten") } else { content };
+        self.pieces.borrow_mut().insert(index, content);
+        Ok(())
+    }
+
+    async fn load(&self, _: &str, _: WeightVersion) -> Result<(), EngineError> {
+        Ok(())
+    }
+}
+
+fn content(version: WeightVersion, index: u32) -> Bytes {
+    let mut bytes = vec![0; PIECE_BYTES];
+    bytes[..8].copy_from_slice(&version.0.to_le_bytes());
+    bytes[8..12].copy_from_slice(&index.to_le_bytes());
+    bytes.into()
+}
+
+fn list(version: WeightVersion) -> PieceList {
+    PieceList::new((0..PIECES).map(|index| PieceDigest::of(&content(version, index))).collect())
+}
+
+impl World {
+    fn is_out(&self) -> bool {
+        let now = self.start.elapsed().as_secs_f64();
+        self.story.outage.is_some_and(|(from, until)| (from..until).contains(&now))
+    }
+
+    /// Returns the time of one way between two agents.
+    fn delay(&self, from: &ProcessStatus, to: &ProcessStatus) -> Duration {
+        if from.data_centre == to.data_centre {
+            Duration::from_millis(1)
+        } else {
+            Duration::from_millis(2)
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Port {
+    world: Rc<World>,
+    own: SocketAddr,
+}
+
+impl Port {
+    fn agent(&self, address: SocketAddr) -> Rc<Agent> {
+        self.world.agents.borrow()[&address].clone()
+    }
+}
+
+impl Origin for Port {
+    async fn list(
+        &self,
+        _: &str,
+        version: Option<WeightVersion>,
+    ) -> Result<(WeightVersion, PieceList), EngineError> {
+        let version = version.unwrap_or(WeightVersion(1));
+        Ok((version, list(version)))
+    }
+
+    async fn piece(
+        &self,
+        _: &str,
+        version: WeightVersion,
+        index: u32,
+    ) -> Result<Bytes, EngineError> {
+        let broken = || EngineError::Unreachable("the origin is down".to_owned());
+        sleep(Duration::from_millis(4)).await;
+        if self.world.is_out() {
+            return Err(broken());
+        }
+        self.world.origin.carry(PIECE_BYTES, &self.agent(self.own).down).await;
+        if self.world.is_out() { Err(broken()) } else { Ok(content(version, index)) }
+    }
+}
+
+impl Peers for Port {
+    async fn piece(
+        &self,
+        address: SocketAddr,
+        key: VersionDigest,
+        index: u32,
+    ) -> Option<PieceAnswer> {
+        let (own, other) = (self.agent(self.own), self.agent(address));
+        let delay = self.world.delay(&own.status, &other.status);
+        sleep(delay).await;
+        let answer = other.server.piece(key, index).await;
+        if answer.content.is_some() {
+            other.up.carry(PIECE_BYTES, &own.down).await;
+        }
+        sleep(delay).await;
+        Some(answer)
+    }
+
+    async fn list(&self, _: SocketAddr, _: VersionDigest) -> Option<PieceList> {
+        None
+    }
+
+    fn leave(&self, _: SocketAddr) {}
+}
+
+fn status(at: usize, centres: usize) -> ProcessStatus {
+    let centre = ["fukuoka", "kagoshima", "kumamoto", "miyazaki", "oita"][at % centres];
+    let loaded = LoadedModel { model: MODEL.to_owned(), version: WeightVersion(1), complete: true };
+    ProcessStatus {
+        name: format!("side-{at:03}"),
+        kind: ProcessKind::Agent,
+        address: SocketAddr::from(([127, 0, (at / 250) as u8, (at % 250) as u8], 7_000)),
+        data_centre: DataCentre::new(centre).expect("a name"),
+        service: Some("engines".to_owned()),
+        engine: None,
+        loaded: Some(egret_fleet::EngineWord { born: 1, models: vec![loaded] }),
+        narrow: false,
+        switching: false,
+        leaving: false,
+        life: Life { born: 1, seq: 1 },
+    }
+}
+
+/// What came of a run.
+#[derive(Debug)]
+struct Outcome {
+    /// When each agent had the last version, after its naming, in order.
+    times: Vec<Duration>,
+    /// Copies that the origin sent.
+    copies: f64,
+}
+
+impl Outcome {
+    fn last(&self) -> f64 {
+        self.times.last().expect("agents").as_secs_f64()
+    }
+}
+
+fn play(seed: u64, count: usize, centres: usize, story: Story) -> Outcome {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, run(seed, count, centres, story))
+}
+
+async fn run(seed: u64, count: usize, centres: usize, story: Story) -> Outcome {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut fleet = Fleet::default();
+    let all: Vec<_> = (0..count).map(|at| status(at, centres)).collect();
+    for one in &all {
+        fleet.observe(&Sighting::Process(one.clone()), Duration::ZERO);
+    }
+    let start = Instant::now();
+    let origin = Link::new(LINK);
+    let world = Rc::new(World { start, story, origin, agents: RefCell::default(), fleet });
+    let squeezed = random.random_range(0..count);
+    for (at, status) in all.into_iter().enumerate() {
+        let part = story.squeezed.filter(|_| at == squeezed).unwrap_or(1.0);
+        let spoils = Cell::new(at < story.rot);
+        let random = RefCell::new(SmallRng::seed_from_u64(random.random()));
+        let engine = Rc::new(Staging { pieces: RefCell::default(), random, spoils });
+        let holdings: Rc<Holdings> = Rc::default();
+        let server = PeerServer::new(holdings.clone(), engine.clone(), (LINK * UPLOAD_PART) as u64);
+        let (down, up) = (Link::new(LINK * part), Link::new(LINK * part));
+        let address = status.address;
+        let agent = Rc::new(Agent { status, down, up, holdings, server, engine });
+        world.agents.borrow_mut().insert(address, agent);
+    }
+    let agents: Vec<Rc<Agent>> = world.agents.borrow().values().cloned().collect();
+    let tasks: Vec<_> = agents
+        .into_iter()
+        .map(|agent| {
+            // All hear of a version within some tens of milliseconds.
+            let heard = Duration::from_millis(random.random_range(20..120));
+            let is_squeezed = agent.down.rate < LINK;
+            let task = spawn_local(fetch(world.clone(), agent, heard));
+            (task, is_squeezed)
+        })
+        .collect();
+    let mut times = Vec::new();
+    for (task, is_squeezed) in tasks {
+        let time = task.await.expect("the agent goes on");
+        // A squeezed link needs eight times as long, whatever is done.
+        if !is_squeezed {
+            times.push(time);
+        }
+    }
+    times.sort_unstable();
+    let copies = world.origin.sent.get() as f64 / f64::from(PIECES) / PIECE_BYTES as f64;
+    Outcome { times, copies }
+}
+
+/// Fetches what is named, and returns how long the last version took.
+async fn fetch(world: Rc<World>, agent: Rc<Agent>, heard: Duration) -> Duration {
+    let port = Port { world: world.clone(), own: agent.status.address };
+    let fetcher = Fetcher::new(agent.engine.clone(), port.clone(), port, agent.holdings.clone());
+    let mut named = world.start;
+    let mut version = WeightVersion(2);
+    if let Some(second) = world.story.second {
+        let until = world.start + Duration::from_secs_f64(second);
+        sleep(heard).await;
+        fetch_version(&world, &agent, &fetcher, version, sleep_until(until + heard)).await;
+        named = until;
+        version = WeightVersion(3);
+    }
+    sleep_until(named + heard).await;
+    fetch_version(&world, &agent, &fetcher, version, std::future::pending()).await;
+    named.elapsed()
+}
+
+async fn fetch_version(
+    world: &World,
+    agent: &Agent,
+    fetcher: &Fetcher<Staging, Port, Port>,
+    version: WeightVersion,
+    unwanted: impl Future<Output = ()>,
+) {
+    let target = Target { model: MODEL.to_owned(), version };
+    let held = Rc::new(Held::new(target, list(version)));
+    agent.holdings.set(held.clone());
+    let table = SourceTable::new(&world.fleet, &agent.status, MODEL, version);
+    let sources = |index| -> Vec<Source> { table.sources(index, &mut rand::rng()) };
+    let fetched = async {
+        while !held.missing().is_empty() {
+            fetcher.fetch_missing(&held, sources, std::future::pending()).await;
+        }
+    };
+    tokio::select! {
+        () = fetched => {}
+        () = unwanted => {}
+    }
+}
+
+/// Plays a story at three sizes and prints how long the last agent took after `since` seconds.
+fn table(name: &str, story: Story, since: f64) {
+    let seeds: u64 =
+        std::env::var("EGRET_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+    for (count, centres) in [(14, 3), (60, 3), (108, 5)] {
+        let outcomes: Vec<_> = (0..seeds).map(|seed| play(seed, count, centres, story)).collect();
+        let last = outcomes.iter().map(|one| one.last() - since).fold(0.0, f64::max);
+        let copies = outcomes.iter().map(|one| one.copies).fold(0.0, f64::max);
+        let half = outcomes[0].times[outcomes[0].times.len() / 2].as_secs_f64() - since;
+        println!(
+            "{name}: agents={count} half={half:.2}s last={last:.2}s over_limit={:.2} \
+             copies={copies:.2}",
+            last / COPY_TIME
+        );
+    }
+}
+
+#[test]
+fn spread_table() {
+    let second = Some(2.0);
+    let stories = [
+        ("calm", Story::default(), 0.0),
+        ("outage", Story { outage: Some((0.5, 6.5)), ..Story::default() }, 6.5),
+        ("squeezed", Story { squeezed: Some(0.125), ..Story::default() }, 0.0),
+        ("second", Story { second, ..Story::default() }, 0.0),
+        ("second+outage", Story { second, outage: Some((2.5, 8.5)), ..Story::default() }, 6.5),
+        ("rot", Story { rot: 7, ..Story::default() }, 0.0),
+    ];
+    std::thread::scope(|scope| {
+        for (name, story, since) in stories {
+            scope.spawn(move || table(name, story, since));
+        }
+    });
+}
--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -38,6 +38,11 @@
 const NEXT_TIME: Duration = Duration::from_millis(200);
 /// What the clock shows when a follower starts, so that earlier moments have a time too.
 const CLOCK_START: Duration = Duration::from_secs(24 * 3_600);
+/// Longest time for which an instance that hears no leader holds back an answer: a few tries of an
+/// election, so that its followers learn of the new leader at once.
+pub const LEADER_TIME: Duration = Duration::from_millis(400);
+/// Longest pause after an instance that is not well, before the next one is asked.
+const FAILED_PAUSE: Duration = Duration::from_millis(40);
 /// Pause before all instances are asked again.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -163,28 +168,36 @@
         }
     }
 
-    /// Asks the known instances, each a while after the last, and returns the first that is well.
+    /// Asks the known instances one after the other, and returns the first that is well.
+    ///
+    /// The next one is asked when one is not well, or says nothing for a while.
     async fn find(&self) -> Option<SocketAddr> {
         let mut known = self.settings.borrow().seeds.clone();
         known.extend(self.members.borrow().iter());
         known.sort_unstable();
         known.dedup();
         known.shuffle(&mut rand::rng());
-        let mut asked: FuturesUnordered<_> = (0_u32..)
-            .zip(known)
-            .map(async |(turn, address)| {
-                // Each answer holds the whole fleet; all at once would fill a narrow link.
-                sleep(NEXT_TIME * turn).await;
-                (address, self.ask(address, true, FIRST_TIME).await)
-            })
-            .collect();
-        while let Some((address, answer)) = asked.next().await {
-            let Some(answer) = answer else { continue };
-            if self.take(address, answer) {
-                return Some(address);
+        let mut waiting = known.into_iter();
+        let mut asked = FuturesUnordered::new();
+        loop {
+            // Each answer holds the whole fleet; all at once would fill a narrow link.
+            match waiting.next() {
+                Some(address) => {
+                    asked.push(async move {
+                        let answer = self.ask(address, true, FIRST_TIME).await?;
+                        self.take(address, answer).then_some(address)
+                    });
+                }
+                None if asked.is_empty() => return None,
+                None => {}
+            }
+            match timeout(NEXT_TIME, asked.next()).await {
+                Ok(Some(Some(address))) => return Some(address),
+                // Many followers look at the same time after a restart.
+                Ok(_) => sleep(rand::rng().random_range(FAILED_PAUSE / 4..FAILED_PAUSE)).await,
+                Err(_) => {}
             }
         }
-        None
     }
 
     async fn stay_with(&self, address: SocketAddr) {
--- a/crates/egret_rpc/src/lib.rs
+++ b/crates/egret_rpc/src/lib.rs
@@ -23,7 +23,7 @@
 pub use convert::{read_envelope, read_member, read_version_digest, write_envelope, write_member};
 pub use egret_schema::egret_capnp as schema;
 pub use follower::{
-    ANSWER_TIME, Follower, FollowerSettings, HOLD_TIME, News, SharedFleet, watch_once,
+    ANSWER_TIME, Follower, FollowerSettings, HOLD_TIME, LEADER_TIME, News, SharedFleet, watch_once,
 };
 pub use request::{
     CallerRequest, ClaimKey, ClaimOutcome, ClaimState, Command, DecodeError, Holder, LeaveReason,
--- a/crates/egret_schema/src/egret_capnp.rs
+++ b/crates/egret_schema/src/egret_capnp.rs
@@ -9252,6 +9252,10 @@
             pub fn get_progress(self) -> u32 {
                 self.reader.get_data_field::<u32>(1)
             }
+            #[inline]
+            pub fn get_stalled(self) -> bool {
+                self.reader.get_bool_field(1)
+            }
         }
 
         pub struct Builder<'a> {
@@ -9370,6 +9374,14 @@
             pub fn set_progress(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(1, value);
             }
+            #[inline]
+            pub fn get_stalled(self) -> bool {
+                self.builder.get_bool_field(1)
+            }
+            #[inline]
+            pub fn set_stalled(&mut self, value: bool) {
+                self.builder.set_bool_field(1, value);
+            }
         }
 
         pub struct Pipeline {
@@ -9382,7 +9394,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(22, 247, 248, 137, 6, 64, 94, 157),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
@@ -9392,35 +9404,42 @@
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 99, 104, 117, 110, 107, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 111, 117, 110, 100, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9446,12 +9465,21 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 108, 108, 101, 100, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9470,9 +9498,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2, 3];
             pub(crate) const TYPE_ID: u64 = 0x9d5e_4006_89f8_f716;
         }
     }
--- a/crates/egret_weights/src/tree.rs
+++ b/crates/egret_weights/src/tree.rs
@@ -4,9 +4,9 @@
 //! few others however many there are. In each tree the holders of a data centre
 //! stand in the same order, turned a step further, so everybody is an inner
 //! node in half of the trees and a leaf in the others, and uploads about as
-//! much as it downloads. All agents agree on the trees without talking. The
-//! root of one data centre fetches from the origin, the roots of the others
-//! from it, or else from the roots of those before them.
+//! much as it downloads. All agents agree on the trees without talking. A few
+//! seeders fetch from the origin; the roots of the data centres ask them, or
+//! each other.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,6 +17,11 @@
 pub const TREES: usize = 16;
 /// Children of a holder in one tree.
 pub const CHILDREN: usize = 2;
+/// Most holders that fetch from the origin. Few of them get chunks one soon after the other; many
+/// share the origin's link and get theirs all at once, which then queue at every holder.
+const SEEDERS: usize = 3;
+/// Holders for each of them, so that few holders do not all fetch from the origin.
+const HOLDERS_PER_SEEDER: usize = 4;
 
 /// A backend server that holds or wants a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,68 +45,105 @@
 
 /// Returns the sources of a chunk for `own`, best first; the last is the origin.
 ///
-/// Each next source is nearer to the root, so that a chunk still comes when
+/// Each next source is nearer to the origin, so that a chunk still comes when
 /// any holder on the way is dead or slow.
 #[must_use]
 pub fn parents(index: u32, own: &BackendName, holders: &[Holder]) -> Vec<Parent> {
-    let mut centres: BTreeMap<&DataCentre, Vec<&Holder>> = BTreeMap::new();
-    for holder in holders {
-        centres.entry(&holder.data_centre).or_default().push(holder);
-    }
+    let forest = Forest::new(holders);
+    let tree = tree_of(index);
     let Some(centre) = holders.iter().find(|holder| holder.name == *own) else {
         return vec![Parent::Origin];
     };
-    let tree = index as usize % TREES;
-    let mut sources = above(tree, own, &mut centres, &centre.data_centre);
-    let count = centres.len();
-    let names: Vec<&DataCentre> = centres.keys().copied().collect();
-    // The data centres before the own one, from the first: each is asked by those after it.
-    let turned = names.iter().cycle().skip(tree % count).take(count);
-    for before in turned.take_while(|name| ***name != centre.data_centre) {
-        sources.extend(root(tree, &mut centres, before));
+    let seeder = forest.seeder(tree);
+    if seeder.name == *own {
+        return vec![Parent::Origin];
     }
-    sources.push(Parent::Origin);
-    sources
+    let mut sources = forest.above(tree, own, &centre.data_centre);
+    sources.extend(forest.roots_above(tree, &seeder.data_centre, &centre.data_centre));
+    // A seeder is in a tree as well, where it may be the root.
+    sources.retain(|holder| holder.name != seeder.name && holder.name != *own);
+    sources.push(seeder);
+    sources.into_iter().map(agent).chain([Parent::Origin]).collect()
 }
 
-/// Returns the holders on the way from `own` to the root of its data centre.
-fn above(
-    tree: usize,
-    own: &BackendName,
-    centres: &mut BTreeMap<&DataCentre, Vec<&Holder>>,
-    centre: &DataCentre,
-) -> Vec<Parent> {
-    let near = ordered(centres, centre);
-    let turn = tree * near.len() / TREES;
-    let place = near.iter().position(|holder| holder.name == *own).unwrap_or(0);
-    let mut at = (place + near.len() - turn) % near.len();
-    let mut sources = Vec::new();
-    while at > 0 {
-        at = (at - 1) / CHILDREN;
-        sources.push(agent(near[(at + turn) % near.len()]));
-    }
-    sources
+/// Returns the tree of a chunk.
+///
+/// Chunks that follow each other take trees that are turned far from each other, so that a holder
+/// which uploads one twice is a leaf for the next.
+fn tree_of(index: u32) -> usize {
+    let tree = index as usize % TREES;
+    tree.reverse_bits() >> (usize::BITS - TREES.trailing_zeros())
 }
 
-/// Returns the root of a data centre.
-fn root(
-    tree: usize,
-    centres: &mut BTreeMap<&DataCentre, Vec<&Holder>>,
-    centre: &DataCentre,
-) -> Option<Parent> {
-    let near = ordered(centres, centre);
-    let turn = tree * near.len() / TREES;
-    near.get(turn).map(|holder| agent(holder))
+/// All holders, in the orders that all agents agree on.
+struct Forest<'h> {
+    centres: BTreeMap<&'h DataCentre, Vec<&'h Holder>>,
+    seeders: Vec<&'h Holder>,
 }
 
-/// Returns the holders of a data centre in the order that all agree on.
-fn ordered<'a, 'h>(
-    centres: &'a mut BTreeMap<&DataCentre, Vec<&'h Holder>>,
-    centre: &DataCentre,
-) -> &'a [&'h Holder] {
-    let Some(near) = centres.get_mut(centre) else { return &[] };
-    near.sort_unstable_by_key(|holder| &holder.name);
-    near
+impl<'h> Forest<'h> {
+    fn new(holders: &'h [Holder]) -> Self {
+        let mut all: Vec<&Holder> = holders.iter().collect();
+        all.sort_unstable_by_key(|holder| &holder.name);
+        let count = SEEDERS.min(all.len().div_ceil(HOLDERS_PER_SEEDER));
+        let seeders: Vec<_> = (0..count).map(|at| all[at * all.len() / count]).collect();
+        let mut centres: BTreeMap<&DataCentre, Vec<&Holder>> = BTreeMap::new();
+        for holder in all {
+            centres.entry(&holder.data_centre).or_default().push(holder);
+        }
+        Self { centres, seeders }
+    }
+
+    /// Returns who fetches the chunks of a tree from the origin.
+    fn seeder(&self, tree: usize) -> &'h Holder {
+        self.seeders[tree % self.seeders.len()]
+    }
+
+    /// Returns the holders of a data centre as they stand in a tree, the root first.
+    ///
+    /// Seeders come last, since they upload enough as it is.
+    fn ordered(&self, tree: usize, centre: &DataCentre) -> Vec<&'h Holder> {
+        let near = self.centres.get(centre).map(Vec::as_slice).unwrap_or_default();
+        let seeds = |holder: &&Holder| self.seeders.iter().any(|one| one.name == holder.name);
+        let (last, mut order): (Vec<_>, Vec<_>) = near.iter().copied().partition(seeds);
+        let turn = tree * order.len() / TREES;
+        order.rotate_left(turn);
+        order.extend(last);
+        order
+    }
+
+    /// Returns the holders on the way from `own` to the root of its data centre.
+    fn above(&self, tree: usize, own: &BackendName, centre: &DataCentre) -> Vec<&'h Holder> {
+        let order = self.ordered(tree, centre);
+        let mut at = order.iter().position(|holder| holder.name == *own).unwrap_or(0);
+        let mut sources = Vec::new();
+        while at > 0 {
+            at = (at - 1) / CHILDREN;
+            sources.push(order[at]);
+        }
+        sources
+    }
+
+    /// Returns the roots of data centres on the way from that of `centre` to the seeder's.
+    ///
+    /// The seeder's data centre comes first; two of them ask the seeder, and each after that
+    /// asks the root of one before it.
+    fn roots_above(&self, tree: usize, first: &DataCentre, centre: &DataCentre) -> Vec<&'h Holder> {
+        let mut names: Vec<&DataCentre> =
+            self.centres.keys().copied().filter(|name| *name != first).collect();
+        if !names.is_empty() {
+            let turn = tree % names.len();
+            names.rotate_left(turn);
+        }
+        names.insert(0, first);
+        let mut at = names.iter().position(|name| *name == centre).unwrap_or(0);
+        let mut sources = Vec::new();
+        while at >= CHILDREN {
+            at = (at - CHILDREN) / CHILDREN;
+            sources.extend(self.ordered(tree, names[at]).first().copied());
+        }
+        sources
+    }
 }
 
 /// Returns the sources of any chunk for `own` along one chain of all holders.
