--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -147,37 +147,38 @@
     ) {
         self.window.restart();
         self.neighbours.borrow_mut().clear();
-        let fetches = async {
-            // Pieces that lie there may turn bad meanwhile.
-            while !held.missing().is_empty() {
-                self.fetch_once(held, &sources).await;
-            }
-        };
+        let fetches = self.fetch_all(held, &sources);
         tokio::select! {
             () = fetches => {}
             () = unwanted => {}
         }
     }
 
-    /// Fetches each missing piece until it is there.
-    async fn fetch_once(&self, held: &Held, sources: &impl Fn(u32) -> Vec<Source>) {
+    /// Fetches pieces until none is missing; those that lie there may turn bad meanwhile.
+    async fn fetch_all(&self, held: &Held, sources: &impl Fn(u32) -> Vec<Source>) {
         let mut queue = Queue::new(fetch_order(held.missing(), sources));
         let mut running = FuturesUnordered::new();
+        let asked_for: RefCell<Vec<u32>> = RefCell::default();
         loop {
+            if held.count() + queue.len() < held.list.count() as usize {
+                queue.restore(&held.missing(), &asked_for.borrow());
+            }
             let best = |index, patience: &_| self.best(&sources(index), patience, held.count());
             while let Some(mut asked) = queue.next(self.window.size(), best) {
+                asked_for.borrow_mut().push(asked.index);
                 running.push(async move {
                     self.fetch(held, &mut asked).await;
                     asked
                 });
             }
-            if queue.is_empty() && running.is_empty() {
+            if queue.is_empty() {
                 return;
             }
             // Those that no source can be asked for wait for one that is well again.
             match timeout(SOURCE_PAUSE, running.next()).await {
                 Ok(Some(asked)) => {
                     let is_here = held.has(asked.index);
+                    asked_for.borrow_mut().retain(|index| *index != asked.index);
                     queue.ended(asked, is_here);
                 }
                 Ok(None) => sleep(SOURCE_PAUSE).await,
@@ -188,7 +189,7 @@
 
     /// Tries to fetch a piece once.
     async fn fetch(&self, held: &Held, asked: &mut Asked) {
-        let Asked { index, source, ref mut patience } = *asked;
+        let Asked { index, source, ref mut patience, .. } = *asked;
         let content = match source {
             Source::Agent(address) => match self.piece_of_agent(address, held, index).await {
                 Piece::Here(content) => Some(content),
--- a/crates/egret_loader/src/holdings.rs
+++ b/crates/egret_loader/src/holdings.rs
@@ -105,7 +105,8 @@
         self.held.borrow().clone()
     }
 
-    pub(crate) fn find(&self, key: VersionDigest) -> Option<std::rc::Rc<Held>> {
+    /// Returns the version that is named by `key`, if it is the one held.
+    pub fn find(&self, key: VersionDigest) -> Option<std::rc::Rc<Held>> {
         self.get().filter(|held| held.target.key() == key)
     }
 
--- a/crates/egret_loader/src/queue.rs
+++ b/crates/egret_loader/src/queue.rs
@@ -1,7 +1,8 @@
 //! Which piece is asked for next, and of whom.
 //!
-//! A piece that its source does not have for long goes behind the others, and the origin's
-//! answers are counted apart from those of agents: what is late holds up nothing else.
+//! A piece that its source does not have for long is left alone for a while, and the origin's
+//! answers are counted apart from those of agents: what is late holds up nothing else. The order
+//! stays, since pieces come along the trees in that order everywhere.
 
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
@@ -20,9 +21,12 @@
 const PASSED_BY: usize = 32;
 /// Time for which a piece is waited for, when no agent can be asked for it, before the origin is.
 const ORIGIN_WAIT: Duration = Duration::from_millis(1_500);
-/// Answers without a piece after which the others go first; until then it is on its way, most
-/// likely, along a tree of a few agents.
+/// Answers without a piece after which it is left alone for a while; until then it is on its way,
+/// most likely, along a tree of a few agents.
 const FRONT_TRIES: u32 = 3;
+/// Time for which it is left alone, so that others are asked for in its place: as long as an agent
+/// waits for a piece before it says that it has none.
+const REST_TIME: Duration = Duration::from_millis(250);
 
 /// What agents said first when they did not have one piece yet.
 #[derive(Debug, Default)]
@@ -31,6 +35,8 @@
     /// Since when the piece is waited for.
     since: Option<Instant>,
     tries: u32,
+    /// Until when it is left alone.
+    rests: Option<Instant>,
 }
 
 /// When an agent said first that it lacks a piece, and how many others it had then.
@@ -49,6 +55,9 @@
         let lack = self.first.entry(address).or_insert(Lack { said, progress, latest: progress });
         lack.latest = progress;
         self.tries += 1;
+        if self.tries >= FRONT_TRIES {
+            self.rests = Some(said + REST_TIME);
+        }
     }
 
     /// Tells whether an agent is so far behind with this piece that others are asked.
@@ -85,6 +94,16 @@
     pub source: Source,
     /// Who did not have it.
     pub patience: Patience,
+    /// Its place in the order.
+    place: usize,
+}
+
+/// A piece that nobody is asked for at the moment.
+#[derive(Debug)]
+struct Waiting {
+    place: usize,
+    index: u32,
+    patience: Patience,
 }
 
 /// The pieces that are missing, in the order in which they are asked for.
@@ -100,7 +119,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Queue {
-    waiting: VecDeque<(u32, Patience)>,
+    waiting: VecDeque<Waiting>,
     agents: usize,
     origin: usize,
 }
@@ -108,14 +127,18 @@
 impl Queue {
     /// Makes a queue of pieces.
     pub fn new(pieces: impl IntoIterator<Item = u32>) -> Self {
-        let waiting = pieces.into_iter().map(|index| (index, Patience::default())).collect();
-        Self { waiting, agents: 0, origin: 0 }
+        let waiting = pieces.into_iter().enumerate().map(|(place, index)| Waiting {
+            place,
+            index,
+            patience: Patience::default(),
+        });
+        Self { waiting: waiting.collect(), agents: 0, origin: 0 }
     }
 
-    /// Tells whether no piece waits to be asked for.
+    /// Tells whether no piece waits or is being asked for.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.len() == 0
     }
 
     /// Takes the first piece that has a source with room; at most `window` are asked of agents at
@@ -131,7 +154,11 @@
             return None;
         }
         let now = Instant::now();
-        let found = self.waiting.iter_mut().enumerate().find_map(|(at, (index, patience))| {
+        let found = self.waiting.iter_mut().enumerate().find_map(|(at, one)| {
+            let Waiting { index, patience, .. } = one;
+            if patience.rests.is_some_and(|rests| now < rests) {
+                return None;
+            }
             let Some(source) = source(*index, patience) else {
                 patience.since.get_or_insert(now);
                 return None;
@@ -143,25 +170,37 @@
             (!is_full).then_some((at, source))
         });
         let (at, source) = found?;
-        let (index, patience) = self.waiting.remove(at)?;
+        let Waiting { place, index, patience } = self.waiting.remove(at)?;
         *self.count(source) += 1;
-        Some(Asked { index, source, patience })
+        Some(Asked { index, source, patience, place })
     }
 
-    /// Notes that an answer came; a piece that is not there for long goes behind the others.
+    /// Notes that an answer came; a piece that is not there keeps its place in the order.
     pub fn ended(&mut self, asked: Asked, is_here: bool) {
         *self.count(asked.source) -= 1;
-        if is_here {
-            return;
+        let Asked { index, patience, place, .. } = asked;
+        if !is_here {
+            let at = self.waiting.partition_point(|one| one.place < place);
+            self.waiting.insert(at, Waiting { place, index, patience });
         }
-        let Asked { index, patience, .. } = asked;
-        if patience.tries < FRONT_TRIES {
-            self.waiting.push_front((index, patience));
-        } else {
-            self.waiting.push_back((index, patience));
+    }
+
+    /// Adds pieces that have turned bad, unless they wait already or are among `running`.
+    pub fn restore(&mut self, pieces: &[u32], running: &[u32]) {
+        for index in pieces.iter().copied().filter(|index| !running.contains(index)) {
+            if !self.waiting.iter().any(|one| one.index == index) {
+                // Others may wait for it.
+                self.waiting.push_front(Waiting { place: 0, index, patience: Patience::default() });
+            }
         }
     }
 
+    /// Returns how many pieces wait or are being asked for.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting.len() + self.agents + self.origin
+    }
+
     fn count(&mut self, source: Source) -> &mut usize {
         match source {
             Source::Agent(_) => &mut self.agents,
--- a/crates/egret_loader/tests/spread.rs
+++ b/crates/egret_loader/tests/spread.rs
@@ -21,6 +21,7 @@
 use egret_weights::{PieceDigest, PieceList};
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use tokio::{
+    sync::oneshot,
     task::{LocalSet, spawn_local},
     time::{Instant, sleep, sleep_until},
 };
@@ -298,13 +299,14 @@
             // All hear of a version within some tens of milliseconds.
             let heard = Duration::from_millis(random.random_range(20..120));
             let is_squeezed = agent.down.rate < LINK;
-            let task = spawn_local(fetch(world.clone(), agent, heard));
-            (task, is_squeezed)
+            let (sender, done) = oneshot::channel();
+            spawn_local(fetch(world.clone(), agent, heard, sender));
+            (done, is_squeezed)
         })
         .collect();
     let mut times = Vec::new();
-    for (task, is_squeezed) in tasks {
-        let time = task.await.expect("the agent goes on");
+    for (done, is_squeezed) in tasks {
+        let time = done.await.expect("the agent goes on");
         // A squeezed link needs eight times as long, whatever is done.
         if !is_squeezed {
             times.push(time);
@@ -315,8 +317,13 @@
     Outcome { times, copies }
 }
 
-/// Fetches what is named, and returns how long the last version took.
-async fn fetch(world: Rc<World>, agent: Rc<Agent>, heard: Duration) -> Duration {
+/// Fetches what is named, says how long the last version took, and repairs what turns bad.
+async fn fetch(
+    world: Rc<World>,
+    agent: Rc<Agent>,
+    heard: Duration,
+    done: oneshot::Sender<Duration>,
+) {
     let port = Port { world: world.clone(), own: agent.status.address };
     let fetcher = Fetcher::new(agent.engine.clone(), port.clone(), port, agent.holdings.clone());
     let mut named = world.start;
@@ -330,7 +337,11 @@
     }
     sleep_until(named + heard).await;
     fetch_version(&world, &agent, &fetcher, version, std::future::pending()).await;
-    named.elapsed()
+    let _ = done.send(named.elapsed());
+    loop {
+        sleep(Duration::from_millis(50)).await;
+        fetch_version(&world, &agent, &fetcher, version, std::future::pending()).await;
+    }
 }
 
 async fn fetch_version(
@@ -341,19 +352,14 @@
     unwanted: impl Future<Output = ()>,
 ) {
     let target = Target { model: MODEL.to_owned(), version };
-    let held = Rc::new(Held::new(target, list(version)));
-    agent.holdings.set(held.clone());
+    let held = agent.holdings.find(target.key()).unwrap_or_else(|| {
+        let held = Rc::new(Held::new(target, list(version)));
+        agent.holdings.set(held.clone());
+        held
+    });
     let table = SourceTable::new(&world.fleet, &agent.status, MODEL, version);
     let sources = |index| -> Vec<Source> { table.sources(index, &mut rand::rng()) };
-    let fetched = async {
-        while !held.missing().is_empty() {
-            fetcher.fetch_missing(&held, sources, std::future::pending()).await;
-        }
-    };
-    tokio::select! {
-        () = fetched => {}
-        () = unwanted => {}
-    }
+    fetcher.fetch_missing(&held, sources, unwanted).await;
 }
 
 /// Plays a story at three sizes and prints how long the last agent took after `since` seconds.
