Spare control instances that start again: held reports, batched news, agents' interests

Reports of engines were refused at once and sent again elsewhere, each with a line in the log; every sighting was sent to every follower by itself; agents were sent all backend servers and entries, which they do not use; members asked each other for whole fleets while there was no leader. Tests: agents_learn_of_agents_alone; the others are those of restart and followers.

--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -62,6 +62,8 @@
     waiters: BTreeMap<Index, Waiter>,
     /// When a plan was proposed last.
     planned_at: Duration,
+    /// Whether this member had all that its leader has committed when it looked last.
+    was_fresh: bool,
     start: Instant,
     lease: Duration,
     snapshot_entries: u64,
@@ -96,6 +98,7 @@
             journal: parts.journal,
             waiters: BTreeMap::new(),
             planned_at: Duration::ZERO,
+            was_fresh: false,
             start: parts.start,
             lease: parts.lease,
             snapshot_entries: parts.snapshot_entries,
@@ -151,6 +154,15 @@
         self.node.caught_up(now).is_some_and(|since| now < since + STALE_TIME)
     }
 
+    /// Tells those that wait when a leader is heard, or no longer.
+    fn note_freshness(&mut self) {
+        let fresh = self.is_fresh();
+        if std::mem::replace(&mut self.was_fresh, fresh) != fresh {
+            log::info!("event=leader_heard fresh={fresh} term={}", self.node.term().0);
+            self.urgent.notify_waiters();
+        }
+    }
+
     /// Returns how long ago versions of weights were named.
     pub(crate) fn namings(&self) -> Vec<Naming> {
         /// Said of versions that were named before this process could see it.
@@ -423,7 +435,6 @@
         }
         let messages = {
             let mut core = core.borrow_mut();
-            let was_fresh = core.is_fresh();
             for input in batch.drain(..) {
                 core.handle(input);
             }
@@ -432,10 +443,7 @@
             core.do_leader_duties();
             core.expire_silent();
             let messages = core.flush()?;
-            if core.is_fresh() && !was_fresh {
-                // Followers wait for an instance that hears a leader.
-                core.urgent.notify_waiters();
-            }
+            core.note_freshness();
             messages
         };
         peers.send(messages, |id| core.borrow().address_of(id).map(str::to_owned));
--- a/crates/egret_control/src/port.rs
+++ b/crates/egret_control/src/port.rs
@@ -9,7 +9,7 @@
 use egret_fleet::{Life, Sighting, SightingKey};
 use egret_record::CatalogVersion;
 use egret_rpc::{Command, Reply, Request};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::server::{Answer, Server};
 
@@ -98,14 +98,28 @@
 
     /// Takes in what was heard of a backend server or process.
     ///
+    /// While no leader is heard it waits for one, up to `limit`: whoever is refused at once would
+    /// ask all other instances in turn, which hear none either.
+    ///
     /// # Errors
     ///
-    /// Returns [`NoAnswer::NoQuorum`] while this instance belongs to no cluster
-    /// or hears no leader, since few would learn of it.
-    pub fn observe(&self, sighting: &Sighting) -> Result<(), NoAnswer> {
+    /// Returns [`NoAnswer::NoQuorum`] when this instance belongs to no cluster
+    /// or hears no leader in time, since few would learn of it.
+    pub async fn observe(&self, sighting: &Sighting, limit: Duration) -> Result<(), NoAnswer> {
+        let deadline = Instant::now() + limit;
         let running = self.server.running().ok_or(NoAnswer::NoQuorum)?;
         running.core.borrow_mut().observe(sighting);
-        if running.core.borrow().is_fresh() { Ok(()) } else { Err(NoAnswer::NoQuorum) }
+        let urgent = running.core.borrow().urgent();
+        loop {
+            let notified = urgent.notified();
+            if running.core.borrow().is_fresh() {
+                return Ok(());
+            }
+            tokio::select! {
+                () = notified => {}
+                () = sleep_until(deadline) => return Err(NoAnswer::NoQuorum),
+            }
+        }
     }
 
     /// Notes that a backend server has left for good.
@@ -113,7 +127,12 @@
     /// # Errors
     ///
     /// As [`observe`](Self::observe).
-    pub fn backend_left(&self, id: &str, born: Option<u64>) -> Result<(), NoAnswer> {
+    pub async fn backend_left(
+        &self,
+        id: &str,
+        born: Option<u64>,
+        limit: Duration,
+    ) -> Result<(), NoAnswer> {
         let running = self.server.running().ok_or(NoAnswer::NoQuorum)?;
         let key = SightingKey::Backend(id.to_owned());
         let known = running.core.borrow().fleet.fleet.get(&key).map(|one| one.sighting.life());
@@ -121,7 +140,7 @@
             // Nobody was sent there on this instance's word.
             return Ok(());
         };
-        self.observe(&Sighting::Gone(key, Life { born, seq: u64::MAX }))
+        self.observe(&Sighting::Gone(key, Life { born, seq: u64::MAX }), limit).await
     }
 
     async fn wait_for_leader(&self, deadline: Instant) -> Result<(), NoAnswer> {
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -7,7 +7,7 @@
 };
 
 use egret_consensus::Member;
-use egret_fleet::{FeedCursor, Sighting};
+use egret_fleet::{FeedCursor, Interest, ProcessKind, Sighting};
 use egret_record::{MemberId, Revision, SessionId};
 use egret_rpc::{
     Command, HOLD_TIME, LEADER_TIME, MemberStatus, Query, Reply, Request, StatusReply, UnixMillis,
@@ -23,6 +23,10 @@
 /// Longest wait of a poll, as a part of the lease.
 const POLLS_PER_LEASE: u32 = 3;
 
+/// Time for which news is gathered before a follower is told: in a burst of it, as when all start
+/// again, each follower would else be answered for every other one.
+const GATHERING: Duration = Duration::from_millis(30);
+
 /// The interface, before and after this instance belongs to a cluster.
 #[derive(Clone)]
 pub(crate) struct Server {
@@ -125,41 +129,51 @@
         }
     }
 
-    /// Answers a follower, at once if there is something it must learn.
+    /// Answers a follower, soon if there is something it must learn.
     async fn watch(&self, watch: Watch) -> Watched {
-        if let Some(process) = watch.process {
+        let Watch { revision: seen, cursor, process, hasty } = watch;
+        let is_agent = process.as_ref().is_some_and(|one| one.kind == ProcessKind::Agent);
+        let interest = if is_agent { Interest::Agents } else { Interest::All };
+        // Another control instance passes on what it learns, so it must not wait.
+        let gathering = if process.is_some() { GATHERING } else { Duration::ZERO };
+        // One that looks for an instance that is well has no better one to ask, and the other
+        // control instances need what this one hears once there is a leader.
+        let waits = hasty || process.is_none();
+        if let Some(process) = process {
             self.core.borrow_mut().observe(&Sighting::Process(process));
         }
-        let deadline = Instant::now() + HOLD_TIME;
-        let leaderless = Instant::now() + LEADER_TIME;
+        let started = Instant::now();
         let (mut revision, urgent) = {
             let core = self.core.borrow();
             (core.revision(), core.urgent())
         };
         loop {
             let notified = urgent.notified();
-            {
+            let is_fresh = {
                 let core = self.core.borrow();
-                let viewed = core.state.view().revision > watch.revision;
-                let news = viewed || core.fleet.feed.is_urgent_after(watch.cursor);
-                let now = Instant::now();
-                let ready = match (core.is_fresh(), watch.hasty) {
-                    (true, hasty) => hasty || news || now >= deadline,
-                    // One that looks for an instance that is well has no better one to ask.
-                    (false, true) => now >= leaderless,
-                    (false, false) => true,
-                };
-                if ready {
-                    return watched(&core, watch.revision, watch.cursor);
+                let waited = started.elapsed();
+                let viewed = core.state.view().revision > seen;
+                let news = viewed || core.fleet.feed.is_urgent_after(cursor, interest);
+                match (core.is_fresh(), waits) {
+                    (true, _) if hasty || waited >= HOLD_TIME => break,
+                    (true, _) if news => {
+                        drop(core);
+                        sleep(gathering).await;
+                        break;
+                    }
+                    (false, true) if waited < LEADER_TIME => false,
+                    (false, _) => break,
+                    (true, _) => true,
                 }
-            }
-            let until = if watch.hasty { leaderless } else { deadline };
+            };
+            let limit = if is_fresh { HOLD_TIME } else { LEADER_TIME };
             tokio::select! {
                 () = notified => {}
-                _ = revision.wait_for(|known| *known > watch.revision), if !watch.hasty => {}
-                () = sleep_until(until) => {}
+                _ = revision.wait_for(|known| *known > seen), if is_fresh => {}
+                () = sleep_until(started + limit) => {}
             }
         }
+        watched(&self.core.borrow(), seen, cursor, interest)
     }
 
     async fn query(&self, query: Query) -> Answer<Reply> {
@@ -251,13 +265,13 @@
     }
 }
 
-fn watched(core: &Core, revision: Revision, cursor: FeedCursor) -> Watched {
+fn watched(core: &Core, revision: Revision, cursor: FeedCursor, interest: Interest) -> Watched {
     let members = core.membership().members.values();
     let changed = core.state.view().revision > revision;
     Watched {
         delta: changed.then(|| core.state.delta(revision)),
         namings: if changed { core.namings() } else { Vec::new() },
-        feed: core.fleet.feed.since(cursor, &core.fleet.fleet),
+        feed: core.fleet.feed.since(cursor, &core.fleet.fleet, interest),
         fresh: core.is_fresh(),
         members: members.filter_map(|member| member.address.parse().ok()).collect(),
     }
--- a/crates/egret_fleet/src/feed.rs
+++ b/crates/egret_fleet/src/feed.rs
@@ -8,11 +8,41 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Fleet, Sighting};
+use crate::{Fleet, ProcessKind, Sighting, SightingKey};
 
 /// Sightings that are kept for followers that lag.
 const NEWS_KEPT: usize = 1_024;
 
+/// What a follower wants to learn.
+///
+/// ```
+/// use egret_fleet::{Interest, Life, Sighting, SightingKey};
+///
+/// let gone = Sighting::Gone(SightingKey::Backend("i-1".to_owned()), Life::default());
+/// assert!(Interest::All.includes(&gone));
+/// assert!(!Interest::Agents.includes(&gone));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Interest {
+    /// Everything.
+    All,
+    /// Agents, which fetch weights from each other. Backend servers are most of a large fleet.
+    Agents,
+}
+
+impl Interest {
+    /// Tells whether a sighting is wanted.
+    #[must_use]
+    pub fn includes(self, sighting: &Sighting) -> bool {
+        match (self, sighting) {
+            (Self::All, _) => true,
+            (Self::Agents, Sighting::Process(process)) => process.kind == ProcessKind::Agent,
+            (Self::Agents, Sighting::Gone(key, _)) => matches!(key, SightingKey::Process(_)),
+            (Self::Agents, Sighting::Backend(_)) => false,
+        }
+    }
+}
+
 /// The place up to which a follower has read a feed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct FeedCursor {
@@ -36,16 +66,21 @@
 pub struct Feed {
     epoch: u64,
     end: u64,
-    /// The end after the latest sighting that followers must learn at once.
-    urgent: u64,
-    news: VecDeque<Sighting>,
+    news: VecDeque<Entry>,
+}
+
+/// A sighting, and whether followers must learn it at once.
+#[derive(Debug)]
+struct Entry {
+    sighting: Sighting,
+    urgent: bool,
 }
 
 impl Default for Feed {
     fn default() -> Self {
         // Zero is what followers send that have read nothing yet.
         let epoch = rand::random::<u64>().max(1);
-        Self { epoch, end: 0, urgent: 0, news: VecDeque::new() }
+        Self { epoch, end: 0, news: VecDeque::new() }
     }
 }
 
@@ -55,11 +90,8 @@
         if self.news.len() == NEWS_KEPT {
             self.news.pop_front();
         }
-        self.news.push_back(sighting);
+        self.news.push_back(Entry { sighting, urgent });
         self.end += 1;
-        if urgent {
-            self.urgent = self.end;
-        }
     }
 
     /// Returns the place after the latest sighting.
@@ -68,23 +100,33 @@
         FeedCursor { epoch: self.epoch, at: self.end }
     }
 
-    /// Tells whether a follower must learn of something at once.
+    /// Tells whether a follower that wants `interest` must learn of something at once.
     #[must_use]
-    pub const fn is_urgent_after(&self, cursor: FeedCursor) -> bool {
-        cursor.epoch != self.epoch || self.urgent > cursor.at
+    pub fn is_urgent_after(&self, cursor: FeedCursor, interest: Interest) -> bool {
+        self.skip_of(cursor).is_none_or(|skip| {
+            let news = self.news.iter().skip(skip);
+            news.into_iter().any(|entry| entry.urgent && interest.includes(&entry.sighting))
+        })
     }
 
-    /// Returns what a follower lacks; the whole fleet if its place is not known.
+    /// Returns what a follower lacks of `interest`; all of it if its place is not known.
     #[must_use]
-    pub fn since(&self, cursor: FeedCursor, fleet: &Fleet) -> FeedDelta {
-        let oldest = self.end - self.news.len() as u64;
-        let known = cursor.epoch == self.epoch && (oldest..=self.end).contains(&cursor.at);
-        let sightings = if known {
-            let skip = usize::try_from(cursor.at - oldest).unwrap_or(usize::MAX);
-            self.news.iter().skip(skip).cloned().collect()
-        } else {
-            fleet.all().map(|known| known.sighting.clone()).collect()
+    pub fn since(&self, cursor: FeedCursor, fleet: &Fleet, interest: Interest) -> FeedDelta {
+        let wanted = |sighting: &&Sighting| interest.includes(sighting);
+        let sightings = match self.skip_of(cursor) {
+            Some(skip) => {
+                let news = self.news.iter().skip(skip).map(|entry| &entry.sighting);
+                news.filter(wanted).cloned().collect()
+            }
+            None => fleet.all().map(|known| &known.sighting).filter(wanted).cloned().collect(),
         };
         FeedDelta { cursor: self.cursor(), sightings }
     }
+
+    /// Returns how much of the news a follower has read; nothing if its place is not known.
+    fn skip_of(&self, cursor: FeedCursor) -> Option<usize> {
+        let oldest = self.end - self.news.len() as u64;
+        let known = cursor.epoch == self.epoch && (oldest..=self.end).contains(&cursor.at);
+        known.then(|| usize::try_from(cursor.at - oldest).unwrap_or(usize::MAX))
+    }
 }
--- a/crates/egret_fleet/src/lib.rs
+++ b/crates/egret_fleet/src/lib.rs
@@ -37,7 +37,7 @@
 mod fleet;
 mod status;
 
-pub use feed::{Feed, FeedCursor, FeedDelta};
+pub use feed::{Feed, FeedCursor, FeedDelta, Interest};
 pub use fleet::{Fleet, Known, News};
 pub use status::{
     BEGIN_TIME, BackendStatus, EngineWord, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting,
--- a/crates/egret_fleet/tests/sightings.rs
+++ b/crates/egret_fleet/tests/sightings.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use egret_fleet::{BackendStatus, Feed, FeedCursor, Fleet, Life, News, Sighting, SightingKey};
+use egret_fleet::{
+    BackendStatus, Feed, FeedCursor, Fleet, Interest, Life, News, Sighting, SightingKey,
+};
 use egret_record::DataCentre;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -76,10 +78,28 @@
         let urgent = fleet.observe(&sighting, NOW) == News::Change;
         feed.push(sighting, urgent);
     }
-    let whole = feed.since(FeedCursor::default(), &fleet);
+    let whole = feed.since(FeedCursor::default(), &fleet, Interest::All);
     assert_eq!(whole.sightings.len(), 1, "a stranger receives the latest word of each");
     let later = FeedCursor { at: whole.cursor.at - 1, ..whole.cursor };
-    assert_eq!(feed.since(later, &fleet).sightings.len(), 1);
-    assert!(!feed.is_urgent_after(later), "a refresh can wait");
-    assert!(feed.is_urgent_after(FeedCursor::default()));
+    assert_eq!(feed.since(later, &fleet, Interest::All).sightings.len(), 1);
+    assert!(!feed.is_urgent_after(later, Interest::All), "a refresh can wait");
+    assert!(feed.is_urgent_after(FeedCursor::default(), Interest::All));
+}
+
+/// Load: all engines start again; agents need only each other, and wake for nothing else.
+#[test]
+fn agents_learn_of_agents_alone() {
+    let (mut fleet, mut feed) = (Fleet::default(), Feed::default());
+    let gone = |key| Sighting::Gone(key, Life { born: 1, seq: 1 });
+    let start = feed.cursor();
+    for sighting in (0..184).map(|at| gone(SightingKey::Backend(format!("i-{at}")))) {
+        fleet.observe(&sighting, Duration::ZERO);
+        feed.push(sighting, true);
+    }
+    assert!(feed.is_urgent_after(start, Interest::All));
+    assert!(!feed.is_urgent_after(start, Interest::Agents));
+    feed.push(gone(SightingKey::Process("side-1".to_owned())), true);
+    assert!(feed.is_urgent_after(start, Interest::Agents));
+    assert_eq!(feed.since(start, &fleet, Interest::Agents).sightings.len(), 1);
+    assert_eq!(feed.since(start, &fleet, Interest::All).sightings.len(), 185);
 }
