--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -149,24 +149,25 @@
         };
         loop {
             let notified = urgent.notified();
-            let is_fresh = {
+            let waited = started.elapsed();
+            let (is_fresh, news) = {
                 let core = self.core.borrow();
-                let waited = started.elapsed();
                 let viewed = core.state.view().revision > seen;
-                let news = viewed || core.fleet.feed.is_urgent_after(cursor, interest);
-                match (core.is_fresh(), waits) {
-                    (true, _) if hasty || waited >= HOLD_TIME => break,
-                    (true, _) if news => {
-                        drop(core);
-                        sleep(gathering).await;
-                        break;
-                    }
-                    (false, true) if waited < LEADER_TIME => false,
-                    (false, _) => break,
-                    (true, _) => true,
-                }
+                (core.is_fresh(), viewed || core.fleet.feed.is_urgent_after(cursor, interest))
+            };
+            let limit = match (is_fresh, waits) {
+                (true, _) if hasty => Duration::ZERO,
+                (true, _) => HOLD_TIME,
+                (false, true) => LEADER_TIME,
+                (false, false) => Duration::ZERO,
             };
-            let limit = if is_fresh { HOLD_TIME } else { LEADER_TIME };
+            if waited >= limit {
+                break;
+            }
+            if is_fresh && news {
+                sleep(gathering).await;
+                break;
+            }
             tokio::select! {
                 () = notified => {}
                 _ = revision.wait_for(|known| *known > seen), if is_fresh => {}
