Tell other agents when the origin failed, not that it does

Cause, found on reading the change once more: the word that the origin fails was dated anew by each agent that heard it, so two agents that ask each other would keep it up for as long as they do, and nobody would turn away from a parent that gets nothing. A service of four engines or fewer has one seeder; cut off from the origin alone it would have held up all others for as long. Ruled out: a shorter validity, which the exchange of answers outlives as well. Change: answers carry how long ago the origin failed, and agents keep the moment; after 12 s without a piece the next one up is asked whatever is said.

--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -195,7 +195,7 @@
                 Piece::Here(content) => Some(content),
                 Piece::Later(progress) => {
                     patience.later(address, progress);
-                    if patience.is_over(address, self.holdings.stalled.get()) {
+                    if patience.is_over(address, self.holdings.failed()) {
                         log::info!("event=agent_behind piece={index} agent={address}");
                     }
                     return;
@@ -250,7 +250,7 @@
         let neighbours = self.neighbours.borrow();
         let well = |source: &&Source| match source {
             Source::Agent(address) => {
-                !patience.is_over(*address, self.holdings.stalled.get())
+                !patience.is_over(*address, self.holdings.failed())
                     && !neighbours.is_behind(*address, own, now)
                     && suspects.get(address).is_none_or(|until| now >= *until)
             }
@@ -277,12 +277,12 @@
             }
         };
         if content.is_none() {
-            self.holdings.stalled.set(Some(Instant::now()));
+            self.holdings.note_failure(Duration::ZERO);
         }
         content
     }
 
-    /// Asks another agent for a piece; waits no longer than for one that is on its way there.
+    /// Asks another agent for a piece.
     async fn piece_of_agent(&self, address: SocketAddr, held: &Held, index: u32) -> Piece {
         let began = Instant::now();
         self.neighbours.borrow_mut().asked(address, began);
@@ -298,8 +298,8 @@
                 return Piece::Never;
             }
         };
-        if answer.stalled {
-            self.holdings.stalled.set(Some(Instant::now()));
+        if let Some(age) = answer.failed {
+            self.holdings.note_failure(age);
         }
         if let Some(progress) = answer.progress {
             self.neighbours.borrow_mut().note(address, progress, Instant::now());
--- a/crates/egret_loader/src/holdings.rs
+++ b/crates/egret_loader/src/holdings.rs
@@ -97,7 +97,7 @@
     /// Pieces that were sent to other agents.
     pub(crate) sent: Cell<u64>,
     /// When the origin was known to fail last, by this agent or one that it asked.
-    pub(crate) stalled: Cell<Option<Instant>>,
+    failed: Cell<Option<Instant>>,
 }
 
 impl Holdings {
@@ -116,11 +116,17 @@
         self.replaced.send_replace(());
     }
 
-    /// Tells whether the origin is known to fail.
-    pub(crate) fn is_stalled(&self) -> bool {
-        /// Time after a failure at which the origin counts as back; it is asked more often.
-        const BACK_TIME: Duration = Duration::from_secs(1);
-        self.stalled.get().is_some_and(|failed| failed.elapsed() < BACK_TIME)
+    /// Notes that the origin failed `age` ago, here or at an agent that says so.
+    pub fn note_failure(&self, age: Duration) {
+        // The moment is passed on, not the word, or agents would tell each other for ever.
+        let failed = Instant::now().checked_sub(age);
+        self.failed.set(failed.max(self.failed.get()));
+    }
+
+    /// Returns when the origin was known to fail last.
+    #[must_use]
+    pub const fn failed(&self) -> Option<Instant> {
+        self.failed.get()
     }
 
     pub(crate) fn replaced(&self) -> watch::Receiver<()> {
--- a/crates/egret_loader/src/peer.rs
+++ b/crates/egret_loader/src/peer.rs
@@ -25,6 +25,8 @@
 const NAMING_WAIT: Duration = Duration::from_millis(125);
 /// Says that this agent does not fetch the version, in place of its progress.
 const NOT_FETCHING: u32 = u32::MAX;
+/// Says that the origin is not known to have failed, in place of milliseconds.
+const NO_FAILURE: u32 = u32::MAX;
 
 /// What an agent said when it was asked for a piece.
 #[derive(Debug, Clone)]
@@ -33,8 +35,8 @@
     pub content: Option<Bytes>,
     /// How many pieces of the version are there; none while the agent does not fetch it.
     pub progress: Option<usize>,
-    /// Whether the origin is known to fail, so that nobody can get on.
-    pub stalled: bool,
+    /// How long ago the origin was known to fail last, so that nobody could get on.
+    pub failed: Option<Duration>,
 }
 
 /// Other agents, from which pieces are fetched.
@@ -86,11 +88,11 @@
         let answer = call.send().promise.await?;
         let answer = answer.get()?;
         let content = answer.get_found().then(|| answer.get_content()).transpose()?;
-        let progress = answer.get_progress();
+        let (progress, failed) = (answer.get_progress(), answer.get_failed_millis());
         Ok(PieceAnswer {
             content: content.map(Bytes::copy_from_slice),
             progress: (progress != NOT_FETCHING).then_some(progress as usize),
-            stalled: answer.get_stalled(),
+            failed: (failed != NO_FAILURE).then(|| Duration::from_millis(failed.into())),
         })
     }
 
@@ -160,7 +162,8 @@
             self.holdings.sent.set(self.holdings.sent.get() + 1);
         }
         let progress = self.holdings.find(key).map(|held| held.count());
-        PieceAnswer { content, progress, stalled: self.holdings.is_stalled() }
+        let failed = self.holdings.failed().map(|failed| failed.elapsed());
+        PieceAnswer { content, progress, failed }
     }
 
     /// Waits until the link has room for so many bytes.
@@ -232,7 +235,8 @@
         }
         let progress = found.progress.and_then(|count| u32::try_from(count).ok());
         answer.set_progress(progress.unwrap_or(NOT_FETCHING));
-        answer.set_stalled(found.stalled);
+        let failed = found.failed.and_then(|age| u32::try_from(age.as_millis()).ok());
+        answer.set_failed_millis(failed.unwrap_or(NO_FAILURE));
         Ok(())
     }
 
--- a/crates/egret_loader/src/queue.rs
+++ b/crates/egret_loader/src/queue.rs
@@ -16,6 +16,9 @@
 /// Time without a piece after which an agent counts as too slow for it: the origin's link needs
 /// under three seconds for a whole version, and the trees some more.
 const PATIENCE: Duration = Duration::from_secs(4);
+/// Time without a piece after which others are asked although the origin fails, by the word of some:
+/// those may be cut off from it alone.
+const PATIENCE_MOST: Duration = Duration::from_secs(12);
 /// Pieces that an agent gets while it lacks one, after which it counts as too slow for that one:
 /// more than are on their way at once along the trees.
 const PASSED_BY: usize = 32;
@@ -62,11 +65,12 @@
 
     /// Tells whether an agent is so far behind with this piece that others are asked.
     ///
-    /// Nobody is behind while the origin fails; `failed` is when it did so last.
+    /// Nobody is behind while the origin fails, for some time; `failed` is when it did so last.
     #[must_use]
     pub fn is_over(&self, address: SocketAddr, failed: Option<Instant>) -> bool {
         let Some(lack) = self.first.get(&address) else { return false };
         lack.latest >= lack.progress + PASSED_BY
+            || lack.said.elapsed() >= PATIENCE_MOST
             || failed.map_or(lack.said, |failed| failed.max(lack.said)).elapsed() >= PATIENCE
     }
 
--- a/crates/egret_loader/tests/loading.rs
+++ b/crates/egret_loader/tests/loading.rs
@@ -4,7 +4,7 @@
 
 use egret_fleet::{BEGIN_TIME, Fleet, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting};
 use egret_loader::{
-    Neighbours, Patience, Queue, Source, SourceTable, Window, fetch_order, pieces_within,
+    Holdings, Neighbours, Patience, Queue, Source, SourceTable, Window, fetch_order, pieces_within,
 };
 use egret_record::{DataCentre, WeightVersion};
 use egret_weights::{PieceDigest, PieceList, WavePlan};
@@ -280,3 +280,29 @@
     assert!(patience.is_over(parent, failed));
     assert!(patience.is_over(parent, None));
 }
+
+/// Pattern: the only seeder of a small service is cut off from the origin, and says all the time
+/// that it fails.
+#[tokio::test(start_paused = true)]
+async fn origin_is_asked_although_a_parent_says_that_it_fails() {
+    let parent = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    let mut patience = Patience::default();
+    patience.later(parent, 0);
+    tokio::time::advance(Duration::from_secs(12)).await;
+    assert!(patience.is_over(parent, Some(tokio::time::Instant::now())));
+}
+
+/// Pattern: two agents ask each other for pieces of different trees after an outage of the origin.
+#[tokio::test(start_paused = true)]
+async fn agents_do_not_keep_up_the_word_of_an_outage_among_themselves() {
+    let (one, other) = (Holdings::default(), Holdings::default());
+    one.note_failure(Duration::ZERO);
+    let failed = one.failed().expect("it was noted");
+    for _ in 0..20 {
+        tokio::time::advance(Duration::from_millis(250)).await;
+        other.note_failure(one.failed().expect("known").elapsed());
+        one.note_failure(other.failed().expect("known").elapsed());
+    }
+    assert_eq!(one.failed(), Some(failed));
+    assert_eq!(other.failed(), Some(failed));
+}
--- a/crates/egret_schema/schema/egret.capnp
+++ b/crates/egret_schema/schema/egret.capnp
@@ -110,10 +110,10 @@
 interface Peer {
   # Asks which chunks of a version are held.
   held @0 (version :Data) -> (chunks :List(UInt32));
-  # Fetches one chunk of a version; `progress` is the number of chunks held so far, `stalled` tells
-  # whether the origin is known to fail.
+  # Fetches one chunk of a version; `progress` is the number of chunks held so far, `failedMillis`
+  # how long ago the origin was known to fail last, or the largest number.
   chunk @1 (version :Data, index :UInt32)
-      -> (found :Bool, content :Data, progress :UInt32, stalled :Bool);
+      -> (found :Bool, content :Data, progress :UInt32, failedMillis :UInt32);
   # Fetches the manifest of a version, as JSON.
   manifest @2 (version :Data) -> (found :Bool, content :Data);
 }
--- a/crates/egret_schema/src/egret_capnp.rs
+++ b/crates/egret_schema/src/egret_capnp.rs
@@ -9253,8 +9253,8 @@
                 self.reader.get_data_field::<u32>(1)
             }
             #[inline]
-            pub fn get_stalled(self) -> bool {
-                self.reader.get_bool_field(1)
+            pub fn get_failed_millis(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
             }
         }
 
@@ -9263,7 +9263,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9375,12 +9375,12 @@
                 self.builder.set_data_field::<u32>(1, value);
             }
             #[inline]
-            pub fn get_stalled(self) -> bool {
-                self.builder.get_bool_field(1)
+            pub fn get_failed_millis(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
             }
             #[inline]
-            pub fn set_stalled(&mut self, value: bool) {
-                self.builder.set_bool_field(1, value);
+            pub fn set_failed_millis(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(2, value);
             }
         }
 
@@ -9394,10 +9394,10 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(22, 247, 248, 137, 6, 64, 94, 157),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9433,13 +9433,13 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 111, 117, 110, 100, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9465,12 +9465,13 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 116, 97, 108, 108, 101, 100, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 97, 105, 108, 101, 100, 77, 105),
+                ::capnp::word(108, 108, 105, 115, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
@@ -9479,7 +9480,7 @@
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9500,7 +9501,7 @@
                 );
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2, 3];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 3, 0, 2];
             pub(crate) const TYPE_ID: u64 = 0x9d5e_4006_89f8_f716;
         }
     }
