Leave a stalled stream for one that goes on, and wait for a slow one

Cause, found by looking for what operators of similar systems told: the silence of a backend server was counted from its last byte, so one that sent a byte now and then held a stream up until the caller's deadline; and a silent one was left before it was known whether another could go on, so a slow but sound stream was cut off when nobody else had a place, was allowed or existed. Ruled out: a longer silence for all, which holds up streams of dead engines. Change: silence counts from the last whole event; the old connection is kept until another backend server goes on, and waited for until the deadline when none does.

--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -41,6 +41,10 @@
     first: Duration,
     /// Longest pause between two events.
     pause: Duration,
+    /// When the last whole event came, or the backend server began.
+    quiet: Duration,
+    /// Whether a silent backend server is waited for, since no other one can go on.
+    patient: bool,
     /// Whether the next event is the first of a backend server that goes on.
     joined: bool,
     /// Set while whole events before the break still wait to be passed on.
@@ -68,6 +72,7 @@
         body: Incoming,
         keep: Option<Duration>,
     ) -> Self {
+        let quiet = gateway.now();
         Self {
             gateway,
             job,
@@ -79,6 +84,8 @@
             passed: None,
             first: Duration::ZERO,
             pause: Duration::ZERO,
+            quiet,
+            patient: false,
             joined: false,
             broken: None,
             ended: false,
@@ -118,6 +125,7 @@
     /// Notes when events are passed on, for whoever asks why a stream was late.
     fn note_pass(&mut self) {
         let now = self.gateway.now();
+        self.quiet = now;
         match self.passed.replace(now) {
             Some(last) => self.pause = self.pause.max(now - last),
             None => self.first = now - self.job.since,
@@ -157,8 +165,10 @@
     async fn read(&mut self) -> Result<bool, Break> {
         let now = self.gateway.now();
         let left = self.job.deadline.saturating_sub(now);
-        let silence = (self.job.route.pause * PAUSES).max(SILENCE_MIN).min(left);
-        match timeout(silence, self.body.frame()).await {
+        let silence = (self.job.route.pause * PAUSES).max(SILENCE_MIN);
+        // Bytes that make no whole event are no sign of life.
+        let wait = if self.patient { left } else { (self.quiet + silence).saturating_sub(now) };
+        match timeout(wait.min(left), self.body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 if let Ok(bytes) = frame.into_data() {
                     self.reader.push(&bytes);
@@ -208,13 +218,25 @@
             self.job.last_event,
             self.job.deadline.saturating_sub(self.gateway.now()).as_millis()
         );
-        self.connection = None;
+        if broken != Break::Silent {
+            self.connection = None;
+        }
         let failure = if broken == Break::Silent { Failure::Dead } else { Failure::Broken };
         if self.gateway.now() < self.job.deadline {
             self.slot.backend.health.borrow_mut().failed(failure, self.gateway.now());
         }
         self.job.avoid.insert(id);
         self.job.runs += 1;
+        if self.move_on().await {
+            return true;
+        }
+        // It may only be slow; cutting it off would help nobody.
+        self.patient = broken == Break::Silent && self.gateway.now() < self.job.deadline;
+        self.patient
+    }
+
+    /// Tries other backend servers; tells whether one goes on.
+    async fn move_on(&mut self) -> bool {
         if self.job.route.kind != (RouteKind::Stream { resumable: true }) {
             return false;
         }
@@ -253,6 +275,8 @@
         self.keep = answer.said.keep;
         self.reader = EventReader::default();
         self.broken = None;
+        self.quiet = gateway.now();
+        self.patient = false;
         self.joined = true;
         Some(true)
     }
