--- a/crates/egret_fleet/src/status.rs
+++ b/crates/egret_fleet/src/status.rs
@@ -8,8 +8,7 @@
 /// Longest time that a request takes to begin at a busy engine, from when a place was found: a
 /// second behind pieces on a squeezed link that is not known as such yet, and a full queue.
 ///
-/// Entries ask no engine this long before its weights are due unless it is known to begin sooner;
-/// agents keep its link free from then.
+/// Entries ask no engine this long before its weights are due; agents keep its link free from then.
 pub const BEGIN_TIME: Duration = Duration::from_millis(1_600);
 
 /// A moment in the lifetimes of a backend server or process; later ones are greater.
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -7,9 +7,9 @@
     time::Duration,
 };
 
-use egret_fleet::{ProcessKind, Sighting};
+use egret_fleet::{BEGIN_TIME, ProcessKind, Sighting};
 use egret_record::{DataCentre, FastMap, FastSet, WeightVersion};
-use egret_route::{BEGIN_LEAST, BEGIN_MOST, CallAges, Distance, RetryBudget, begin_time};
+use egret_route::{CallAges, Distance, RetryBudget};
 use egret_rpc::Follower;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 
@@ -18,6 +18,9 @@
 /// Most entries that a caller is told of.
 const ENTRIES_TOLD: usize = 64;
 
+/// [`BEGIN_TIME`] at an engine whose link is squeezed.
+const SLOW_BEGIN_TIME: Duration = Duration::from_millis(3_700);
+
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -252,7 +255,7 @@
 
     /// Returns the version of a model that alone may answer, if others may not any more.
     pub(crate) fn strict_version(&self, model: &str, now: Duration) -> Option<WeightVersion> {
-        let grace = self.settings.version_grace.saturating_sub(BEGIN_LEAST);
+        let grace = self.settings.version_grace.saturating_sub(BEGIN_TIME);
         self.tables.borrow().due_version(model, grace, now)
     }
 
@@ -264,13 +267,7 @@
         now: Duration,
     ) -> Option<Duration> {
         let due = self.tables.borrow().next_due(model, self.settings.version_grace, held)?;
-        (due <= now + BEGIN_MOST).then_some(due)
-    }
-
-    /// Returns how long a request may take to begin at a backend server.
-    pub(crate) fn begin_time(&self, backend: &Backend) -> Duration {
-        let address = backend.status.borrow().address;
-        begin_time(backend.delay.get(), backend.is_sluggish() || self.is_narrow(&address))
+        (due <= now + SLOW_BEGIN_TIME).then_some(due)
     }
 
     fn refresh_tables(&self) {
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -258,9 +258,8 @@
         Some(model) => match (backend.version_of(model), version) {
             (Some(held), Some(strict)) => held >= strict,
             (Some(held), None) => {
-                let now = gateway.now();
-                let due = gateway.expires(model, Some(held), now);
-                due.is_none_or(|due| now + gateway.begin_time(backend) < due)
+                let slow = backend.is_sluggish() || gateway.is_narrow(&status.address);
+                !slow || gateway.expires(model, Some(held), gateway.now()).is_none()
             }
             (None, _) => false,
         },
--- a/crates/egret_route/src/lib.rs
+++ b/crates/egret_route/src/lib.rs
@@ -3,7 +3,6 @@
 //! - `refusal`: final answers to requests that are given up on.
 //! - `adaptive`: how many requests a backend server is given, by how fast it answers.
 //! - `age`: how long a caller has been waiting already.
-//! - `begin`: how long before its weights are due an engine gets no more requests.
 //! - `cold`: the pace of requests to a cold backend server.
 //! - `health`: what outcomes say of a backend server.
 //! - `placement`: where a request goes, by known load.
@@ -16,7 +15,6 @@
 mod adaptive;
 mod addresses;
 mod age;
-mod begin;
 mod budget;
 mod choice;
 mod cold;
@@ -29,7 +27,6 @@
 pub use adaptive::AdaptiveBound;
 pub use addresses::{EntryAddress, EntryList, list_entries};
 pub use age::CallAges;
-pub use begin::{BEGIN_LEAST, BEGIN_MOST, begin_time};
 pub use budget::RetryBudget;
 pub use choice::{Candidate, Hints, choose};
 pub use cold::ColdPace;
