Order the holders once for all trees

Cause: an agent works out its parents in sixteen trees ten times a second while it fetches, and each tree sorted all holders and chose the seeders again; the caller had sorted them as well. Change: Forest is made once and asked for each tree; parents() stays for whoever asks about one chunk.

--- a/crates/egret_loader/src/sources.rs
+++ b/crates/egret_loader/src/sources.rs
@@ -9,7 +9,7 @@
 
 use egret_fleet::{Fleet, ProcessKind, ProcessStatus, version_of};
 use egret_record::{BackendName, WeightVersion};
-use egret_weights::{CHILDREN, Holder, Parent, TREES, parents};
+use egret_weights::{CHILDREN, Forest, Holder, Parent, TREES};
 use rand::{Rng, seq::IndexedRandom as _};
 
 /// Agents that have the version loaded and are asked before the trees.
@@ -111,9 +111,9 @@
         let data_centre = own.data_centre.clone();
         holders.push(Holder { name: name.clone(), data_centre, address: own.address });
     }
-    holders.sort_by(|a, b| a.name.cmp(&b.name));
+    let forest = Forest::new(&holders);
     let above = |tree| {
-        let parents = parents(tree, &name, &holders).into_iter();
+        let parents = forest.parents(tree, &name).into_iter();
         parents
             .filter_map(|parent| match parent {
                 Parent::Agent(_, address) => Some(address),
--- a/crates/egret_weights/src/lib.rs
+++ b/crates/egret_weights/src/lib.rs
@@ -29,5 +29,5 @@
 pub use chunk_store::{ChunkStore, Sealer, StoreError, VersionFolder};
 pub use manifest::{CHUNK_BYTES, Manifest, ManifestError};
 pub use pieces::{PieceDigest, PieceList};
-pub use tree::{CHILDREN, Holder, Parent, TREES, chain_parents, parents};
+pub use tree::{CHILDREN, Forest, Holder, Parent, TREES, chain_parents, parents};
 pub use wave::WavePlan;
--- a/crates/egret_weights/src/tree.rs
+++ b/crates/egret_weights/src/tree.rs
@@ -45,31 +45,10 @@
 
 /// Returns the sources of a chunk for `own`, best first; the last is the origin.
 ///
-/// Each next source is nearer to the origin, so that a chunk still comes when
-/// any holder on the way is dead or slow.
+/// As [`Forest::parents`], for whoever asks about one chunk alone.
 #[must_use]
 pub fn parents(index: u32, own: &BackendName, holders: &[Holder]) -> Vec<Parent> {
-    let forest = Forest::new(holders);
-    let tree = tree_of(index);
-    let Some(centre) = holders.iter().find(|holder| holder.name == *own) else {
-        return vec![Parent::Origin];
-    };
-    let seeder = forest.seeder(tree);
-    if seeder.name == *own {
-        return vec![Parent::Origin];
-    }
-    let mut sources = forest.above(tree, own, &centre.data_centre);
-    sources.extend(forest.roots_above(tree, &seeder.data_centre, &centre.data_centre));
-    // A seeder is in a tree as well, where it may be the root.
-    sources.retain(|holder| holder.name != seeder.name && holder.name != *own);
-    sources.push(seeder);
-    // When the seeder is lost, one root fetches from the origin and the others ask it.
-    let first = forest.ordered(tree, &seeder.data_centre).first().copied();
-    let stands_in = |holder: &&Holder| {
-        holder.name != *own && sources.iter().all(|source| source.name != holder.name)
-    };
-    sources.extend(first.filter(stands_in));
-    sources.into_iter().map(agent).chain([Parent::Origin]).collect()
+    Forest::new(holders).parents(index, own)
 }
 
 /// Returns the tree of a chunk.
@@ -82,13 +61,16 @@
 }
 
 /// All holders, in the orders that all agents agree on.
-struct Forest<'h> {
+#[derive(Debug)]
+pub struct Forest<'h> {
     centres: BTreeMap<&'h DataCentre, Vec<&'h Holder>>,
     seeders: Vec<&'h Holder>,
 }
 
 impl<'h> Forest<'h> {
-    fn new(holders: &'h [Holder]) -> Self {
+    /// Orders holders, which may stand in any order.
+    #[must_use]
+    pub fn new(holders: &'h [Holder]) -> Self {
         let mut all: Vec<&Holder> = holders.iter().collect();
         all.sort_unstable_by_key(|holder| &holder.name);
         let count = SEEDERS.min(all.len().div_ceil(HOLDERS_PER_SEEDER));
@@ -104,6 +86,35 @@
         Self { centres, seeders }
     }
 
+    /// Returns the sources of a chunk for `own`, best first; the last is the origin.
+    ///
+    /// Each next source is nearer to the origin, so that a chunk still comes when
+    /// any holder on the way is dead or slow.
+    #[must_use]
+    pub fn parents(&self, index: u32, own: &BackendName) -> Vec<Parent> {
+        let tree = tree_of(index);
+        let mut holders = self.centres.values().flatten();
+        let Some(centre) = holders.find(|holder| holder.name == *own) else {
+            return vec![Parent::Origin];
+        };
+        let seeder = self.seeder(tree);
+        if seeder.name == *own {
+            return vec![Parent::Origin];
+        }
+        let mut sources = self.above(tree, own, &centre.data_centre);
+        sources.extend(self.roots_above(tree, &seeder.data_centre, &centre.data_centre));
+        // A seeder is in a tree as well, where it may be the root.
+        sources.retain(|holder| holder.name != seeder.name && holder.name != *own);
+        sources.push(seeder);
+        // When the seeder is lost, one root fetches from the origin and the others ask it.
+        let first = self.ordered(tree, &seeder.data_centre).first().copied();
+        let stands_in = |holder: &&Holder| {
+            holder.name != *own && sources.iter().all(|source| source.name != holder.name)
+        };
+        sources.extend(first.filter(stands_in));
+        sources.into_iter().map(agent).chain([Parent::Origin]).collect()
+    }
+
     /// Returns who fetches the chunks of a tree from the origin.
     fn seeder(&self, tree: usize) -> &'h Holder {
         self.seeders[tree % self.seeders.len()]
