Keep the latest urgent place of a feed for each interest

Change: one number for each interest again, and the mark is gone. A follower of this feed that lags by more than 1,024 sightings, none of them urgent, waits for its answer again, as it did before the mark.

--- a/crates/egret_fleet/src/feed.rs
+++ b/crates/egret_fleet/src/feed.rs
@@ -66,21 +66,18 @@
 pub struct Feed {
     epoch: u64,
     end: u64,
-    news: VecDeque<Entry>,
-}
-
-/// A sighting, and whether followers must learn it at once.
-#[derive(Debug)]
-struct Entry {
-    sighting: Sighting,
-    urgent: bool,
+    /// The end after the latest sighting that followers must learn at once.
+    urgent: u64,
+    /// The same of those that agents want.
+    urgent_agents: u64,
+    news: VecDeque<Sighting>,
 }
 
 impl Default for Feed {
     fn default() -> Self {
         // Zero is what followers send that have read nothing yet.
         let epoch = rand::random::<u64>().max(1);
-        Self { epoch, end: 0, news: VecDeque::new() }
+        Self { epoch, end: 0, urgent: 0, urgent_agents: 0, news: VecDeque::new() }
     }
 }
 
@@ -90,8 +87,14 @@
         if self.news.len() == NEWS_KEPT {
             self.news.pop_front();
         }
-        self.news.push_back(Entry { sighting, urgent });
         self.end += 1;
+        if urgent {
+            self.urgent = self.end;
+        }
+        if urgent && Interest::Agents.includes(&sighting) {
+            self.urgent_agents = self.end;
+        }
+        self.news.push_back(sighting);
     }
 
     /// Returns the place after the latest sighting.
@@ -102,31 +105,26 @@
 
     /// Tells whether a follower that wants `interest` must learn of something at once.
     #[must_use]
-    pub fn is_urgent_after(&self, cursor: FeedCursor, interest: Interest) -> bool {
-        self.skip_of(cursor).is_none_or(|skip| {
-            let news = self.news.iter().skip(skip);
-            news.into_iter().any(|entry| entry.urgent && interest.includes(&entry.sighting))
-        })
+    pub const fn is_urgent_after(&self, cursor: FeedCursor, interest: Interest) -> bool {
+        let urgent = match interest {
+            Interest::All => self.urgent,
+            Interest::Agents => self.urgent_agents,
+        };
+        cursor.epoch != self.epoch || urgent > cursor.at
     }
 
     /// Returns what a follower lacks of `interest`; all of it if its place is not known.
     #[must_use]
     pub fn since(&self, cursor: FeedCursor, fleet: &Fleet, interest: Interest) -> FeedDelta {
+        let oldest = self.end - self.news.len() as u64;
+        let known = cursor.epoch == self.epoch && (oldest..=self.end).contains(&cursor.at);
         let wanted = |sighting: &&Sighting| interest.includes(sighting);
-        let sightings = match self.skip_of(cursor) {
-            Some(skip) => {
-                let news = self.news.iter().skip(skip).map(|entry| &entry.sighting);
-                news.filter(wanted).cloned().collect()
-            }
-            None => fleet.all().map(|known| &known.sighting).filter(wanted).cloned().collect(),
+        let sightings = if known {
+            let skip = usize::try_from(cursor.at - oldest).unwrap_or(usize::MAX);
+            self.news.iter().skip(skip).filter(wanted).cloned().collect()
+        } else {
+            fleet.all().map(|known| &known.sighting).filter(wanted).cloned().collect()
         };
         FeedDelta { cursor: self.cursor(), sightings }
     }
-
-    /// Returns how much of the news a follower has read; nothing if its place is not known.
-    fn skip_of(&self, cursor: FeedCursor) -> Option<usize> {
-        let oldest = self.end - self.news.len() as u64;
-        let known = cursor.epoch == self.epoch && (oldest..=self.end).contains(&cursor.at);
-        known.then(|| usize::try_from(cursor.at - oldest).unwrap_or(usize::MAX))
-    }
 }
