Read over the change: one place for what was kept or written twice

The queue knows itself what is being asked for, instead of a list beside it; one wait for an answer of another agent instead of two; a request for a pre-vote is answered with the parameters of a vote, without a type of its own, and by one comparison; a member that does not answer takes the path of one that refuses; two branches of a watch that said the same are one.

--- a/crates/egret_consensus/src/election.rs
+++ b/crates/egret_consensus/src/election.rs
@@ -21,15 +21,6 @@
 /// Tries of a member that has just started, within one shortest election time.
 const START_TRIES: u32 = 10;
 
-/// What a candidate says of itself when it asks whether it could win.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Ballot {
-    pub(crate) from: MemberId,
-    pub(crate) last: Index,
-    pub(crate) last_term: Term,
-    pub(crate) unanimous: bool,
-}
-
 impl Node {
     /// Tells whether a request for a vote is to be ignored.
     ///
@@ -124,19 +115,26 @@
         }
     }
 
-    pub(crate) fn answer_pre_vote(&mut self, ballot: &Ballot, term: Term, now: Duration) {
-        let Ballot { from, last, last_term, unanimous } = *ballot;
-        let current = self.is_current(last, last_term);
-        // Among equal candidates that ask everybody only one may go on, or none would win.
-        let yields = unanimous
+    pub(crate) fn answer_pre_vote(
+        &mut self,
+        from: MemberId,
+        term: Term,
+        last: Index,
+        last_term: Term,
+        unanimous: bool,
+        now: Duration,
+    ) {
+        // Among candidates that ask everybody only one may go on, or none would win: of those with
+        // the longest log the one with the smallest identity.
+        let precedes = unanimous
             && self.may_have_forgotten(now)
             && self.membership().voters.contains(&self.id)
-            && (!current || (self.is_equal(last, last_term) && self.id < from));
-        let granted = term > self.state.term && current && !yields;
+            && (self.log.last_term(), self.log.last(), from) > (last_term, last, self.id);
+        let granted = term > self.state.term && self.is_current(last, last_term) && !precedes;
         if granted && !self.was_led {
             // Leaves the candidate the time to be elected.
             self.reset_election(now);
-        } else if yields {
+        } else if precedes {
             // The other one has started, and may be the last whose vote this one lacked.
             let soon = self.timing.election / (START_TRIES * START_TRIES);
             self.election_at = self.election_at.min(now + soon);
@@ -222,10 +220,6 @@
         votes.count() >= membership.quorum()
     }
 
-    fn is_equal(&self, last: Index, last_term: Term) -> bool {
-        (last_term, last) == (self.log.last_term(), self.log.last())
-    }
-
     fn is_current(&self, last: Index, last_term: Term) -> bool {
         (last_term, last) >= (self.log.last_term(), self.log.last())
     }
--- a/crates/egret_consensus/src/node.rs
+++ b/crates/egret_consensus/src/node.rs
@@ -11,7 +11,6 @@
 use thiserror::Error;
 
 use crate::{
-    election::Ballot,
     log::Log,
     message::{Body, Envelope},
     types::{ClusterId, HardState, Index, LogEntry, Membership, Payload, Snapshot, Term},
@@ -252,8 +251,8 @@
         }
         match message.body {
             Body::PreVote { last, last_term, unanimous } => {
-                let ballot = Ballot { from: message.from, last, last_term, unanimous };
-                self.answer_pre_vote(&ballot, message.term, now);
+                let Envelope { from, term, .. } = message;
+                self.answer_pre_vote(from, term, last, last_term, unanimous, now);
             }
             Body::Vote { last, last_term, .. } => {
                 self.answer_vote(message.from, message.term, last, last_term, now);
--- a/crates/egret_control/src/peers.rs
+++ b/crates/egret_control/src/peers.rs
@@ -1,6 +1,6 @@
 //! Messages to the other control members.
 
-use std::{cell::RefCell, net::IpAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, io::ErrorKind, net::IpAddr, rc::Rc, time::Duration};
 
 use egret_consensus::Envelope;
 use egret_record::{FastMap, MemberId};
@@ -91,15 +91,12 @@
 
 async fn open(own: IpAddr, address: &str) -> Option<Rc<Connection<control::Client>>> {
     let address = address.parse().ok()?;
-    match timeout(CONNECT_TIMEOUT, Connection::open(own, address)).await {
-        Ok(Ok(connection)) => Some(Rc::new(connection)),
-        Ok(Err(error)) => {
+    let opened = timeout(CONNECT_TIMEOUT, Connection::open(own, address)).await;
+    match opened.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
+        Ok(connection) => Some(Rc::new(connection)),
+        Err(error) => {
             log::debug!("event=member_unreachable address={address} error=\"{error}\"");
             None
         }
-        Err(_) => {
-            log::debug!("event=member_silent address={address}");
-            None
-        }
     }
 }
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -156,10 +156,9 @@
                 (core.is_fresh(), viewed || core.fleet.feed.is_urgent_after(cursor, interest))
             };
             let limit = match (is_fresh, waits) {
-                (true, _) if hasty => Duration::ZERO,
-                (true, _) => HOLD_TIME,
+                (true, _) if !hasty => HOLD_TIME,
                 (false, true) => LEADER_TIME,
-                (false, false) => Duration::ZERO,
+                _ => Duration::ZERO,
             };
             if waited >= limit {
                 break;
--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -158,14 +158,12 @@
     async fn fetch_all(&self, held: &Held, sources: &impl Fn(u32) -> Vec<Source>) {
         let mut queue = Queue::new(fetch_order(held.missing(), sources));
         let mut running = FuturesUnordered::new();
-        let asked_for: RefCell<Vec<u32>> = RefCell::default();
         loop {
             if held.count() + queue.len() < held.list.count() as usize {
-                queue.restore(&held.missing(), &asked_for.borrow());
+                queue.restore(&held.missing());
             }
             let best = |index, patience: &_| self.best(&sources(index), patience, held.count());
             while let Some(mut asked) = queue.next(self.window.size(), best) {
-                asked_for.borrow_mut().push(asked.index);
                 running.push(async move {
                     self.fetch(held, &mut asked).await;
                     asked
@@ -178,7 +176,6 @@
             match timeout(SOURCE_PAUSE, running.next()).await {
                 Ok(Some(asked)) => {
                     let is_here = held.has(asked.index);
-                    asked_for.borrow_mut().retain(|index| *index != asked.index);
                     queue.ended(asked, is_here);
                 }
                 Ok(None) => sleep(SOURCE_PAUSE).await,
@@ -287,17 +284,9 @@
         let began = Instant::now();
         self.neighbours.borrow_mut().asked(address, began);
         let asked = self.peers.piece(address, held.target.key(), index);
-        let answer = timeout(AGENT_TIMEOUT, asked).await;
+        let answer = self.in_time(address, AGENT_TIMEOUT, asked).await;
         self.window.ended(began.elapsed());
-        let answer = match answer {
-            Ok(Some(answer)) => answer,
-            Ok(None) => return Piece::Never,
-            Err(_) => {
-                log::debug!("event=agent_silent address={address}");
-                self.peers.leave(address);
-                return Piece::Never;
-            }
-        };
+        let Some(answer) = answer else { return Piece::Never };
         if let Some(age) = answer.failed {
             self.holdings.note_failure(age);
         }
@@ -312,8 +301,19 @@
     }
 
     async fn list_of_agent(&self, address: SocketAddr, target: &Target) -> Option<PieceList> {
-        match timeout(LIST_TIMEOUT, self.peers.list(address, target.key())).await {
-            Ok(list) => list,
+        let asked = self.peers.list(address, target.key());
+        self.in_time(address, LIST_TIMEOUT, asked).await
+    }
+
+    /// Waits for an answer of another agent, and leaves it when it says nothing for too long.
+    async fn in_time<T>(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        asked: impl Future<Output = Option<T>>,
+    ) -> Option<T> {
+        match timeout(limit, asked).await {
+            Ok(answer) => answer,
             Err(_) => {
                 log::debug!("event=agent_silent address={address}");
                 self.peers.leave(address);
--- a/crates/egret_loader/src/queue.rs
+++ b/crates/egret_loader/src/queue.rs
@@ -124,6 +124,8 @@
 #[derive(Debug)]
 pub struct Queue {
     waiting: VecDeque<Waiting>,
+    /// Pieces that are being asked for.
+    running: Vec<u32>,
     agents: usize,
     origin: usize,
 }
@@ -136,7 +138,7 @@
             index,
             patience: Patience::default(),
         });
-        Self { waiting: waiting.collect(), agents: 0, origin: 0 }
+        Self { waiting: waiting.collect(), running: Vec::new(), agents: 0, origin: 0 }
     }
 
     /// Tells whether no piece waits or is being asked for.
@@ -176,6 +178,7 @@
         let (at, source) = found?;
         let Waiting { place, index, patience } = self.waiting.remove(at)?;
         *self.count(source) += 1;
+        self.running.push(index);
         Some(Asked { index, source, patience, place })
     }
 
@@ -183,16 +186,18 @@
     pub fn ended(&mut self, asked: Asked, is_here: bool) {
         *self.count(asked.source) -= 1;
         let Asked { index, patience, place, .. } = asked;
+        self.running.retain(|one| *one != index);
         if !is_here {
             let at = self.waiting.partition_point(|one| one.place < place);
             self.waiting.insert(at, Waiting { place, index, patience });
         }
     }
 
-    /// Adds pieces that have turned bad, unless they wait already or are among `running`.
-    pub fn restore(&mut self, pieces: &[u32], running: &[u32]) {
-        for index in pieces.iter().copied().filter(|index| !running.contains(index)) {
-            if !self.waiting.iter().any(|one| one.index == index) {
+    /// Adds pieces that have turned bad, unless they wait or are being asked for already.
+    pub fn restore(&mut self, pieces: &[u32]) {
+        for index in pieces.iter().copied() {
+            let waits = self.waiting.iter().any(|one| one.index == index);
+            if !waits && !self.running.contains(&index) {
                 // Others may wait for it.
                 self.waiting.push_front(Waiting { place: 0, index, patience: Patience::default() });
             }
@@ -202,7 +207,7 @@
     /// Returns how many pieces wait or are being asked for.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.waiting.len() + self.agents + self.origin
+        self.waiting.len() + self.running.len()
     }
 
     fn count(&mut self, source: Source) -> &mut usize {
