Keep to what backend servers say in answers, and bound answers without end

A backend server that says in an answer that it leaves was used until control heard of it; a rejection with a time to come back counted as full for 60 ms; an answer without a length was collected without a limit, one with a large length was passed on past every deadline, and a stream whose bytes were always there never ended (comments without end, and any flood once its silence was over: a timeout around a body that is always ready never fires). Ruled out: a timer for the word of leaving (it ends with the lifetime, also when the fleet forgets it meanwhile), judging by the status whether a request ran (the mark alone tells), a limit in time only (a flood fills memory long before). Change: egret_route::Hold and Holds keep the words by lifetime; Reading reads a plain answer up to 256 KiB, then passes it on until the deadline; Relay ends at the deadline, and counts bytes since the last event that says something. All that want nothing before a request's wait is over are told so at once, with the time.

--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -111,6 +111,7 @@
     };
     let (head, body) = response.into_parts();
     let said = gateway.wire.backend_head(&head);
+    gateway.note_hold(backend, &said);
     if said.request.as_deref().is_some_and(|request| request != job.call.id) {
         outcome("crossed", &format_args!("other={:?}", said.request));
         backend.health.borrow_mut().failed(Failure::Broken, gateway.now());
--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use egret_fleet::{BackendStatus, EngineWord, version_of};
 use egret_record::WeightVersion;
-use egret_route::{AdaptiveBound, ColdPace, Health};
+use egret_route::{AdaptiveBound, ColdPace, Health, Hold};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -66,11 +66,13 @@
     pub(crate) delay: Cell<Duration>,
     /// It refused a request for lack of room; it gets none until then.
     pub(crate) full_until: Cell<Duration>,
+    /// What its answers said of further requests.
+    pub(crate) hold: Cell<Hold>,
     idle: RefCell<Vec<Idle>>,
 }
 
 impl Backend {
-    pub(crate) fn new(status: BackendStatus) -> Self {
+    pub(crate) fn new(status: BackendStatus, hold: Hold) -> Self {
         Self {
             status: RefCell::new(status),
             seen: RefCell::default(),
@@ -80,6 +82,7 @@
             bound: Cell::new(None),
             delay: Cell::new(Duration::ZERO),
             full_until: Cell::new(Duration::ZERO),
+            hold: Cell::new(hold),
             idle: RefCell::default(),
         }
     }
--- a/crates/egret_gateway/src/events.rs
+++ b/crates/egret_gateway/src/events.rs
@@ -6,8 +6,8 @@
 
 use bytes::{Buf as _, Bytes, BytesMut};
 
-/// Most bytes that one event may have; a longer one is taken for garbage.
-const EVENT_BYTES: usize = 256 * 1024;
+/// Most bytes that one event may have; more of them without an event are taken for garbage.
+pub(crate) const EVENT_BYTES: usize = 256 * 1024;
 
 /// One whole event, with the empty line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,6 +18,15 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Tells whether it has nothing but comments, which say nothing of the answer.
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n' || *byte == b'\r');
+        lines.all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+}
+
 /// Cuts bytes into whole events.
 ///
 /// ```
--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use egret_record::{FastSet, OrganisationSpec, Route, RouteKind};
 use egret_route::{Code, Failure, Refusal};
-use futures::stream;
 use http::{Request, Response, request};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
@@ -16,6 +15,7 @@
     Cut, ReplyBody,
     attempt::{Answer, Outcome, attempt},
     gateway::Gateway,
+    reading::Reading,
     relay::Relay,
     service::{Slot, Wanted, draw_service},
     wire::CallerHead,
@@ -23,8 +23,6 @@
 
 /// Longest time without the head of an answer before another backend server is tried.
 const HEAD_TIME: Duration = Duration::from_millis(1_300);
-/// Answers up to this size are read whole before they are passed on, in bytes.
-const WHOLE_BYTES: u64 = 256 * 1024;
 /// Shortest wait for a place, in which one may become free by chance.
 const WAIT_MIN: Duration = Duration::from_millis(40);
 /// Longest wait of a stream that is late already.
@@ -38,6 +36,9 @@
 /// When a caller shall come back, in milliseconds, if no engine has the weights that are due:
 /// fetching takes about three seconds, and loading one or two.
 const NO_WEIGHTS_RETRY_MS: std::ops::Range<u64> = 2_000..4_000;
+/// Time over which callers come back after a pause that all backend servers asked for, in
+/// milliseconds; as long as they are spread in [`RETRY_MS`].
+const PAUSE_SPREAD_MS: u64 = 1_000;
 /// Time that is too short for another try.
 const USEFUL_TIME: Duration = Duration::from_millis(150);
 
@@ -193,7 +194,8 @@
                 slot.backend.health.borrow_mut().succeeded();
                 return Ok(self.stream(job, slot, answer));
             }
-            match self.whole(&job, &slot, *answer).await {
+            let backend = slot.backend.clone();
+            match self.whole(&job, slot, *answer).await {
                 Ok(response) => {
                     let error = response.status().is_server_error();
                     job.avoid.insert(id);
@@ -204,7 +206,8 @@
                     failed.replace(response);
                 }
                 Err(Cut) => {
-                    slot.backend.health.borrow_mut().failed(Failure::Broken, self.now());
+                    log::info!("event=answer_cut request={} backend={id}", job.call.id);
+                    backend.health.borrow_mut().failed(Failure::Broken, self.now());
                     job.avoid.insert(id);
                     job.runs += 1;
                     self.repeat(&job, "cut")?;
@@ -252,8 +255,9 @@
             until: now + wait,
         };
         let places = self.places.acquire(self, wanted).await;
-        places.map_err(|refusal| match (&refusal.code, &job.call.model) {
-            (Code::NoBackend, Some(_)) => self.spread(refusal, NO_WEIGHTS_RETRY_MS),
+        places.map_err(|refusal| match (refusal.code, &job.call.model, refusal.retry_ms) {
+            (_, _, Some(wait)) => self.spread(refusal, wait..wait + PAUSE_SPREAD_MS),
+            (Code::NoBackend, Some(_), None) => self.spread(refusal, NO_WEIGHTS_RETRY_MS),
             _ => self.spread(refusal, RETRY_MS),
         })
     }
@@ -336,33 +340,15 @@
     async fn whole(
         self: &Rc<Self>,
         job: &Job,
-        slot: &Slot,
+        slot: Slot,
         answer: Answer,
     ) -> Result<Response<ReplyBody>, Cut> {
         let Answer { mut head, said, body, connection } = answer;
         self.wire.caller_response(&mut head);
-        let length = hyper::body::Body::size_hint(&body).upper();
-        if length.is_some_and(|length| length > WHOLE_BYTES) {
-            let pieces = stream::try_unfold((body, connection), |(mut body, connection)| async {
-                match body.frame().await {
-                    Some(Ok(frame)) => {
-                        let bytes = frame.into_data().unwrap_or_default();
-                        Ok(Some((bytes, (body, connection))))
-                    }
-                    Some(Err(_)) => Err(Cut),
-                    None => Ok(None),
-                }
-            });
+        let mut reading = Reading::new(body, job.deadline);
+        let Some(body) = reading.whole(self).await? else {
+            let pieces = reading.pass_on(self.clone(), slot, connection);
             return Ok(Response::from_parts(head, ReplyBody::pieces(pieces)));
-        }
-        let left = job.deadline.saturating_sub(self.now());
-        let body = match timeout(left, body.collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => {
-                log::info!("event=answer_cut request={} error=\"{error}\"", job.call.id);
-                return Err(Cut);
-            }
-            Err(_) => return Err(Cut),
         };
         if head.status.is_server_error() {
             slot.backend.health.borrow_mut().failed(Failure::Error, self.now());
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -9,11 +9,11 @@
 
 use egret_fleet::{BEGIN_TIME, ProcessKind, Sighting};
 use egret_record::{DataCentre, FastMap, FastSet, WeightVersion};
-use egret_route::{CallAges, Distance, RetryBudget};
+use egret_route::{CallAges, Distance, Holds, RetryBudget};
 use egret_rpc::Follower;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 
-use crate::{Listen, Wire, backend::Backend, service::Places, tables::Tables};
+use crate::{BackendHead, Listen, Wire, backend::Backend, service::Places, tables::Tables};
 
 /// Most entries that a caller is told of.
 const ENTRIES_TOLD: usize = 64;
@@ -47,6 +47,8 @@
     follower: Rc<Follower>,
     tables: RefCell<Rc<Tables>>,
     backends: RefCell<FastMap<String, Rc<Backend>>>,
+    /// What backend servers said of further requests, also of those that are gone from sight.
+    holds: RefCell<Holds>,
     /// Engines whose agents are about to change their weights.
     switching: RefCell<FastSet<SocketAddr>>,
     /// Engines whose links are filled by weights.
@@ -80,6 +82,7 @@
             follower,
             tables: RefCell::default(),
             backends: RefCell::default(),
+            holds: RefCell::default(),
             switching: RefCell::default(),
             narrow: RefCell::default(),
             entries: Cell::new(0),
@@ -231,6 +234,31 @@
         backend.pace.borrow_mut().chill(until, part, now);
     }
 
+    /// Keeps to what an answer says of further requests to its backend server.
+    pub(crate) fn note_hold(&self, backend: &Backend, said: &BackendHead) {
+        if !said.leaving && said.wait.is_none() {
+            return;
+        }
+        let now = self.now();
+        let status = backend.status.borrow();
+        let before = backend.hold.get();
+        let mut hold = before;
+        if said.leaving {
+            hold.leave();
+        }
+        let bounded = said.wait.is_some_and(|wait| hold.stay_away(wait, now));
+        if hold != before {
+            log::info!(
+                "event=backend_holds backend={} leaving={} wait_ms={:?} bounded={bounded}",
+                status.id,
+                said.leaving,
+                said.wait.map(|wait| wait.as_millis())
+            );
+        }
+        backend.hold.set(hold);
+        self.holds.borrow_mut().note(&status.id, status.life.born, hold, now);
+    }
+
     pub(crate) fn is_switching(&self, engine: &SocketAddr) -> bool {
         self.switching.borrow().contains(engine)
     }
@@ -301,7 +329,8 @@
             let backend = match known {
                 Some(backend) => backend.clone(),
                 None => {
-                    let backend = Rc::new(Backend::new(status.clone()));
+                    let hold = self.holds.borrow().find(&status.id, status.life.born);
+                    let backend = Rc::new(Backend::new(status.clone(), hold));
                     backends.insert(status.id.clone(), backend.clone());
                     backend
                 }
--- a/crates/egret_gateway/src/lib.rs
+++ b/crates/egret_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `service`: who gets a place at the backend servers of a service.
 //! - `attempt`: one try at one backend server.
 //! - `events`: the framing of event streams.
+//! - `reading`: the body of an answer that is no stream of events.
 //! - `relay`: a stream of events that goes on at another backend server.
 //! - `exchange`: a request, from its arrival to its answer.
 //! - `serve`: connections of callers.
@@ -22,6 +23,7 @@
 mod events;
 mod exchange;
 mod gateway;
+mod reading;
 mod relay;
 mod serve;
 mod service;
--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -14,7 +14,7 @@
     Cut,
     attempt::{Outcome, attempt},
     backend::Connection,
-    events::EventReader,
+    events::{EVENT_BYTES, EventReader},
     exchange::Job,
     gateway::Gateway,
     service::Slot,
@@ -41,8 +41,12 @@
     first: Duration,
     /// Longest pause between two events.
     pause: Duration,
-    /// When the last whole event came, or the backend server began.
+    /// When the last event of the answer was passed on, or the backend server began.
     quiet: Duration,
+    /// Bytes that were read since then.
+    idle: usize,
+    /// Whether the events that are passed on next say something of the answer.
+    lively: bool,
     /// Whether a silent backend server is waited for, since no other one can go on.
     patient: bool,
     /// Whether the next event is the first of a backend server that goes on.
@@ -85,6 +89,8 @@
             first: Duration::ZERO,
             pause: Duration::ZERO,
             quiet,
+            idle: 0,
+            lively: false,
             patient: false,
             joined: false,
             broken: None,
@@ -124,8 +130,12 @@
 
     /// Notes when events are passed on, for whoever asks why a stream was late.
     fn note_pass(&mut self) {
+        if !std::mem::take(&mut self.lively) {
+            return;
+        }
         let now = self.gateway.now();
         self.quiet = now;
+        self.idle = 0;
         match self.passed.replace(now) {
             Some(last) => self.pause = self.pause.max(now - last),
             None => self.first = now - self.job.since,
@@ -148,6 +158,7 @@
                     break;
                 }
             }
+            self.lively |= event.id.is_some() || !event.is_comment();
             self.joined = false;
             self.job.last_event = event.id.or(self.job.last_event);
             events.extend_from_slice(&event.bytes);
@@ -165,12 +176,20 @@
     async fn read(&mut self) -> Result<bool, Break> {
         let now = self.gateway.now();
         let left = self.job.deadline.saturating_sub(now);
+        // Bytes that are always there would never let the time run out.
+        if left.is_zero() {
+            return Err(Break::Silent);
+        }
+        if self.idle > EVENT_BYTES {
+            return Err(Break::Cut);
+        }
         let silence = (self.job.route.pause * PAUSES).max(SILENCE_MIN);
         // Bytes that make no whole event are no sign of life.
         let wait = if self.patient { left } else { (self.quiet + silence).saturating_sub(now) };
         match timeout(wait.min(left), self.body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 if let Ok(bytes) = frame.into_data() {
+                    self.idle += bytes.len();
                     self.reader.push(&bytes);
                 }
                 Ok(true)
@@ -276,6 +295,7 @@
         self.reader = EventReader::default();
         self.broken = None;
         self.quiet = gateway.now();
+        self.idle = 0;
         self.patient = false;
         self.joined = true;
         Some(true)
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -86,6 +86,8 @@
     None,
     /// Those that do have no room or are not well.
     Room,
+    /// All of those that do want no request before this time.
+    Held(Duration),
 }
 
 impl Places {
@@ -170,6 +172,13 @@
             Ok(_) => Lack::Room,
             Err(lack) => lack,
         };
+        if let Lack::Held(until) = lack
+            && until >= wanted.until
+        {
+            let message = "all backend servers asked for a pause; come back after it";
+            let wait = until.saturating_sub(now);
+            return Err(Refusal::not_run(Code::Overloaded, message).retry_after(wait));
+        }
         if lack == Lack::Room && now <= wanted.timely {
             self.press(&wanted.service, now);
         }
@@ -198,7 +207,7 @@
                 let message = "no backend server of the service is ready; come back later";
                 Refusal::not_run(Code::NoBackend, message)
             }
-            Lack::Room => {
+            Lack::Room | Lack::Held(_) => {
                 let message = "all backend servers have as much as they can bear; come back later";
                 Refusal::not_run(Code::Overloaded, message)
             }
@@ -213,16 +222,21 @@
         let Some(spec) = spec.cloned() else { return Err(Lack::None) };
         let version = wanted.model.as_ref().and_then(|model| gateway.strict_version(model, now));
         let backends = gateway.backends();
-        let fitting: Vec<_> =
+        let mut fitting: Vec<_> =
             backends.values().filter(|backend| fits(gateway, backend, wanted, version)).collect();
+        let held = fitting.iter().map(|one| one.hold.get().until()).min();
+        let held = held.filter(|until| *until > now).map(Lack::Held);
+        fitting.retain(|one| !wanted.avoid.contains(&one.status.borrow().id));
         let fitting = within_reach(gateway, fitting);
         if fitting.is_empty() {
-            return Err(Lack::None);
+            return Err(held.unwrap_or(Lack::None));
         }
         let spacing = ColdPace::spacing(spec.cold_per_s, gateway.peak_entries());
         let open: Vec<_> = fitting.into_iter().filter(|one| is_open(one, spacing, now)).collect();
         let places = places_of(gateway, &open, &spec);
-        let Some(at) = place(&places, &mut *gateway.random()) else { return Err(Lack::Room) };
+        let Some(at) = place(&places, &mut *gateway.random()) else {
+            return Err(held.unwrap_or(Lack::Room));
+        };
         let backend = open[at].clone();
         backend.pace.borrow_mut().admit(spacing, now);
         backend.health.borrow_mut().sent();
@@ -268,7 +282,7 @@
     loaded
         && status.service == wanted.service
         && !status.draining
-        && !wanted.avoid.contains(&status.id)
+        && !backend.hold.get().is_leaving()
         && !gateway.tables().is_out(&status.data_centre)
         && wanted.homes.iter().all(|homes| gateway.is_home(&status.data_centre, homes))
         && !gateway.is_switching(&status.address)
@@ -300,6 +314,7 @@
     backend.health.borrow().is_usable(now)
         && backend.pace.borrow().is_open(spacing, now)
         && now >= backend.full_until.get()
+        && backend.hold.get().is_open(now)
 }
 
 /// Describes backend servers by what this entry knows of their load.
--- a/crates/egret_gateway/src/wire.rs
+++ b/crates/egret_gateway/src/wire.rs
@@ -58,6 +58,10 @@
     pub not_run: bool,
     /// Whether another backend server, or other weights, stand at the address.
     pub mismatch: bool,
+    /// Whether the backend server leaves and wants no further request.
+    pub leaving: bool,
+    /// For how long it wants no further request.
+    pub wait: Option<Duration>,
     /// How much longer the backend server stays cold.
     pub cold: Option<Duration>,
     /// The version of weights that answers.
--- a/crates/egret_route/src/lib.rs
+++ b/crates/egret_route/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `health`: what outcomes say of a backend server.
 //! - `placement`: where a request goes, by known load.
 //! - `waiting`: who gets the next place, and who gives up.
+//! - `hold`: who wants no requests for now, by the word of its own answers.
 //! - `gate`: the bound before one backend server.
 //! - `choice`: which backend server gets a request.
 //! - `budget`: how many requests may be tried again.
@@ -20,6 +21,7 @@
 mod cold;
 mod gate;
 mod health;
+mod hold;
 mod placement;
 mod refusal;
 mod waiting;
@@ -32,6 +34,7 @@
 pub use cold::ColdPace;
 pub use gate::{Gate, Permit, Warmth};
 pub use health::{Failure, Health};
+pub use hold::{Hold, Holds};
 pub use placement::{Distance, Place, entry_bound, place};
 pub use refusal::{Code, Ran, Refusal};
 pub use waiting::{Waiter, Waiting};
