Go on with a stream only at the weights that began it

Cause: Relay::rejoin asked for any engine that may answer, so a stream that broke off while engines changed their weights went on with another version: half an answer of each. Ruled out: judging by the head of the engine that goes on (it has run by then). Change: a request keeps the version that its first head named (or its engine announced); only engines with that version are asked, and told to check it. Where none is left the stream breaks off, which callers see.

--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use egret_record::{FastSet, OrganisationSpec, Route, RouteKind};
+use egret_record::{FastSet, OrganisationSpec, Route, RouteKind, WeightVersion};
 use egret_route::{Code, Failure, Refusal};
 use http::{Request, Response, request};
 use http_body_util::{BodyExt as _, Limited};
@@ -61,6 +61,8 @@
     pub(crate) runs: u32,
     /// The last event that was passed on.
     pub(crate) last_event: Option<u64>,
+    /// The version of weights that began the answer; no other may go on with it.
+    pub(crate) weights: Option<WeightVersion>,
 }
 
 impl Gateway {
@@ -145,6 +147,7 @@
             avoid: FastSet::default(),
             runs: 0,
             last_event: None,
+            weights: None,
         })
     }
 
@@ -248,6 +251,7 @@
             request: job.call.id.clone(),
             service: job.service.clone(),
             model: job.call.model.clone(),
+            weights: job.weights,
             homes: homes.cloned().collect(),
             rank: if job.last_event.is_some() { 0 } else { rank },
             avoid: job.avoid.clone(),
@@ -360,8 +364,16 @@
     }
 
     /// Passes a stream of events on as they come.
-    fn stream(self: Rc<Self>, job: Job, slot: Slot, answer: Box<Answer>) -> Response<ReplyBody> {
+    fn stream(
+        self: Rc<Self>,
+        mut job: Job,
+        slot: Slot,
+        answer: Box<Answer>,
+    ) -> Response<ReplyBody> {
         let Answer { mut head, said, body, connection } = *answer;
+        let model = job.call.model.as_ref();
+        let held = model.and_then(|model| slot.backend.version_of(model));
+        job.weights = model.and(said.version.or(held));
         self.wire.caller_response(&mut head);
         // Another backend server may go on with a rest of another length.
         head.headers.remove(http::header::CONTENT_LENGTH);
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -32,6 +32,8 @@
     pub(crate) request: String,
     pub(crate) service: String,
     pub(crate) model: Option<String>,
+    /// The version of weights that began the answer, if it has begun.
+    pub(crate) weights: Option<WeightVersion>,
     /// Regions in which it may be served, by route and by organisation.
     pub(crate) homes: Vec<Vec<String>>,
     pub(crate) rank: u8,
@@ -256,6 +258,7 @@
             .model
             .as_ref()
             .and_then(|model| gateway.expires(model, backend.version_of(model).max(version), now));
+        let version = wanted.weights.or(version);
         Ok(Slot { backend, version, expires, tests, freed: self.freed.clone() })
     }
 }
@@ -270,6 +273,8 @@
     let status = backend.status.borrow();
     let loaded = match &wanted.model {
         Some(model) => match (backend.version_of(model), version) {
+            // An answer is made with one version, from its first event to its last.
+            (Some(held), _) if wanted.weights.is_some_and(|begun| held != begun) => false,
             (Some(held), Some(strict)) => held >= strict,
             (Some(held), None) => {
                 let slow = backend.is_sluggish() || gateway.is_narrow(&status.address);
