Move the streams of engines that change their weights to those that change last

Cause: each engine let its requests end before it loaded new weights and took no new ones meanwhile: 1.1 to 2.9 s around a load of 0.3 s. Change: engines in the first half of the order stop what runs; entries send those streams to engines of the second half, with the same version, which let all end. An entry takes no failure from an engine that says that it changes. Half of the engines are still out together at the end of a change; the aim was a quarter.

--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -66,6 +66,9 @@
     pub(crate) delay: Cell<Duration>,
     /// It refused a request for lack of room; it gets none until then.
     pub(crate) full_until: Cell<Duration>,
+    /// Whether it stops what runs when its weights change, so that streams had better not move
+    /// there before.
+    pub(crate) moves_streams: Cell<bool>,
     /// What its answers said of further requests.
     pub(crate) hold: Cell<Hold>,
     idle: RefCell<Vec<Idle>>,
@@ -82,6 +85,7 @@
             bound: Cell::new(None),
             delay: Cell::new(Duration::ZERO),
             full_until: Cell::new(Duration::ZERO),
+            moves_streams: Cell::default(),
             hold: Cell::new(hold),
             idle: RefCell::default(),
         }
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -7,10 +7,11 @@
     time::Duration,
 };
 
-use egret_fleet::{BEGIN_TIME, ProcessKind, Sighting};
+use egret_fleet::{BEGIN_TIME, Fleet, ProcessKind, Sighting};
 use egret_record::{DataCentre, FastMap, FastSet, WeightVersion};
 use egret_route::{CallAges, Distance, Holds, RetryBudget};
 use egret_rpc::Follower;
+use egret_weights::WavePlan;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 
 use crate::{BackendHead, Listen, Wire, backend::Backend, service::Places, tables::Tables};
@@ -287,6 +288,11 @@
         self.tables.borrow().due_version(model, grace, now)
     }
 
+    /// Tells whether engines leave a version of a model now or soon.
+    pub(crate) fn is_left(&self, model: &str, held: WeightVersion) -> bool {
+        self.tables.borrow().next_due(model, Duration::ZERO, Some(held)).is_some()
+    }
+
     /// Returns when the version that an engine holds may not begin an answer any more, if soon.
     pub(crate) fn expires(
         &self,
@@ -353,7 +359,9 @@
                 switching.insert(engine);
             }
         }
+        let moving = moving_engines(&fleet);
         for backend in backends.values() {
+            backend.moves_streams.set(moving.contains(&backend.status.borrow().address));
             if let Some(word) = loaded.get(&backend.status.borrow().address) {
                 backend.seen.replace((*word).clone());
             }
@@ -371,3 +379,22 @@
         }
     }
 }
+
+/// Returns the engines that stop what runs when they change their weights.
+fn moving_engines(fleet: &Fleet) -> FastSet<SocketAddr> {
+    let mut services: FastMap<&str, Vec<_>> = FastMap::default();
+    for agent in fleet.processes(ProcessKind::Agent) {
+        let service = agent.service.as_deref().unwrap_or_default();
+        services.entry(service).or_default().push((agent.name.as_str(), agent.engine));
+    }
+    let mut moving = FastSet::default();
+    for agents in services.values_mut() {
+        agents.sort_unstable();
+        let engines = agents.iter().enumerate();
+        moving
+            .extend(engines.filter_map(|(rank, (_, engine))| {
+                engine.filter(|_| WavePlan::moves_streams(rank))
+            }));
+    }
+    moving
+}
--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -241,7 +241,10 @@
             self.connection = None;
         }
         let failure = if broken == Break::Silent { Failure::Dead } else { Failure::Broken };
-        if self.gateway.now() < self.job.deadline {
+        // An engine that changes its weights cuts off what runs there, and is well.
+        let address = self.slot.backend.status.borrow().address;
+        let planned = broken == Break::Cut && self.gateway.is_switching(&address);
+        if !planned && self.gateway.now() < self.job.deadline {
             self.slot.backend.health.borrow_mut().failed(failure, self.gateway.now());
         }
         self.job.avoid.insert(id);
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -236,7 +236,9 @@
         let spacing = ColdPace::spacing(spec.cold_per_s, gateway.peak_entries());
         let open: Vec<_> = fitting.into_iter().filter(|one| is_open(one, spacing, now)).collect();
         let places = places_of(gateway, &open, &spec);
-        let Some(at) = place(&places, &mut *gateway.random()) else {
+        let staying = staying_places(gateway, wanted, &open, &places);
+        let at = place(&staying, &mut *gateway.random());
+        let Some(at) = at.or_else(|| place(&places, &mut *gateway.random())) else {
             return Err(held.unwrap_or(Lack::Room));
         };
         let backend = open[at].clone();
@@ -359,6 +361,24 @@
     open.iter().zip(distances).map(describe).collect()
 }
 
+/// Returns the places at which a stream that has begun can end, without those that must stop it
+/// to change their weights; none for other requests.
+fn staying_places(
+    gateway: &Gateway,
+    wanted: &Wanted,
+    open: &[&Rc<Backend>],
+    places: &[Place],
+) -> Vec<Place> {
+    let begun = wanted.model.as_ref().zip(wanted.weights);
+    if !begun.is_some_and(|(model, weights)| gateway.is_left(model, weights)) {
+        return Vec::new();
+    }
+    let bound =
+        |one: &Backend, place: &Place| if one.moves_streams.get() { 0 } else { place.bound };
+    let places = open.iter().zip(places);
+    places.map(|(one, place)| Place { bound: bound(one, place), ..*place }).collect()
+}
+
 fn distance_to(gateway: &Gateway, backend: &Backend) -> Distance {
     let status = backend.status.borrow();
     if gateway.is_narrow(&status.address) {
--- a/crates/egret_loader/src/engine.rs
+++ b/crates/egret_loader/src/engine.rs
@@ -39,6 +39,15 @@
     pub queued: u32,
 }
 
+/// What becomes of the requests that run when an engine changes its weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Running {
+    /// They end first; the engine takes no new ones meanwhile.
+    Finish,
+    /// They are cut off; streams go on at other engines.
+    Stop,
+}
+
 /// The engine beside this agent.
 pub trait Engine: 'static {
     /// Asks the engine for its state.
@@ -58,11 +67,12 @@
         index: u32,
         content: Bytes,
     ) -> impl Future<Output = Result<(), EngineError>>;
-    /// Orders the engine to load what lies there, once its requests have ended.
+    /// Orders the engine to load what lies there.
     fn load(
         &self,
         model: &str,
         version: WeightVersion,
+        running: Running,
     ) -> impl Future<Output = Result<(), EngineError>>;
 }
 
--- a/crates/egret_loader/src/lib.rs
+++ b/crates/egret_loader/src/lib.rs
@@ -26,7 +26,7 @@
 mod sources;
 mod window;
 
-pub use engine::{Engine, EngineError, EngineReport, Origin};
+pub use engine::{Engine, EngineError, EngineReport, Origin, Running};
 pub use fetch::Fetcher;
 pub use holdings::{Held, Holdings, Target};
 pub use loader::{Loader, LoaderSettings};
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    engine::{Engine, EngineError, EngineReport, Origin},
+    engine::{Engine, EngineError, EngineReport, Origin, Running},
     fetch::Fetcher,
     holdings::{Held, Holdings, Target},
     peer::{PeerServer, RpcPeers},
@@ -354,12 +354,18 @@
             );
             return Ok(());
         }
-        if loaded.is_some() {
+        let mut running = Running::Finish;
+        if let Some(loaded) = loaded {
             self.set_switching(true);
             sleep(HEARD_TIME).await;
+            running = self.running_at_turn(&target.model, loaded);
         }
-        log::info!("event=load_ordered model={} version={}", target.model, target.version);
-        let ordered = self.engine.load(&target.model, target.version).await;
+        log::info!(
+            "event=load_ordered model={} version={} running={running:?}",
+            target.model,
+            target.version
+        );
+        let ordered = self.engine.load(&target.model, target.version, running).await;
         let deadline = self.follower.now() + LOAD_TIMEOUT;
         while self.follower.now() < deadline {
             let report = self.engine.report().await?;
@@ -376,6 +382,22 @@
         ordered
     }
 
+    /// Decides what becomes of the requests of this engine, which has the version `loaded`.
+    fn running_at_turn(&self, model: &str, loaded: WeightVersion) -> Running {
+        let fleet = self.follower.fleet();
+        let own = &self.settings.process;
+        let others = fleet
+            .processes(ProcessKind::Agent)
+            .filter(|one| one.service == own.service && one.name != own.name && !one.switching);
+        let held = |one: &ProcessStatus| version_of(&one.loaded.as_ref()?.models, model);
+        let others_serve = others.into_iter().any(|one| held(one) == Some(loaded));
+        if WavePlan::moves_streams(self.rank()) && others_serve {
+            Running::Stop
+        } else {
+            Running::Finish
+        }
+    }
+
     /// Waits until it is this engine's turn to leave the version `loaded`.
     async fn wait_for_turn(&self, target: &Target, loaded: WeightVersion) {
         let Some(named) = self.named_after(target, loaded) else { return };
--- a/crates/egret_loader/tests/spread.rs
+++ b/crates/egret_loader/tests/spread.rs
@@ -15,7 +15,7 @@
 use egret_fleet::{Fleet, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting};
 use egret_loader::{
     Engine, EngineError, EngineReport, Fetcher, Held, Holdings, Origin, PeerServer, Peers,
-    PieceAnswer, Source, SourceTable, Target,
+    PieceAnswer, Running, Source, SourceTable, Target,
 };
 use egret_record::{DataCentre, FastMap, VersionDigest, WeightVersion};
 use egret_weights::{PieceDigest, PieceList};
@@ -132,7 +132,7 @@
         Ok(())
     }
 
-    async fn load(&self, _: &str, _: WeightVersion) -> Result<(), EngineError> {
+    async fn load(&self, _: &str, _: WeightVersion, _: Running) -> Result<(), EngineError> {
         Ok(())
     }
 }
