Do not read back pieces that are known to be of another version

One copy lies at an engine, so they are of the version that it serves. Change: they are read back only when this agent does not hold another version whole.

--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -310,7 +310,15 @@
             None => {
                 let list = self.fetcher.list(target, &self.sources(target, 0)).await?;
                 let held = Rc::new(Held::new(target.clone(), list));
-                self.fetcher.recover(&held).await;
+                // One copy lies at the engine; where it is known to be another version, reading
+                // it back would only delay the fetch.
+                let other = self.holdings.get();
+                let occupied = other.is_some_and(|other| {
+                    other.target.model == target.model && other.missing().is_empty()
+                });
+                if !occupied {
+                    self.fetcher.recover(&held).await;
+                }
                 self.holdings.set(held.clone());
                 held
             }
