Mend an example of the order of changes

Cause: the example of WavePlan::moves_streams claimed that exactly 50 of 100 engines stop what runs; the golden ratio spreads them evenly, not exactly. Conclusion: the claim is about half, as the policy needs.

--- a/crates/egret_weights/src/wave.rs
+++ b/crates/egret_weights/src/wave.rs
@@ -42,7 +42,7 @@
     /// use egret_weights::WavePlan;
     ///
     /// let moving = (0..100).filter(|rank| WavePlan::moves_streams(*rank)).count();
-    /// assert_eq!(moving, 50);
+    /// assert!((45..=55).contains(&moving), "about half");
     /// ```
     #[must_use]
     pub fn moves_streams(rank: usize) -> bool {
