Use quick engines until shortly before their weights are due

Cause: entries turned from old weights 1.6 s before these are due, whatever was known of an engine; where the next weights come late (origin outages) that is 1.6 s in which nobody is served. And a fault found on the way: the longer margins of engines that are slow or whose links are squeezed were only looked at while no version had ever been due, so they did not hold from the second naming on. A request that is taken back counts on the engine dropping it, which only most do; so what is sent late must begin at once by itself. Test: platform/tests/versions.rs quick_engine (red before: refused 1.3 s before), slow_engine (red in between, which showed the fault), wire.rs (callers cannot set the urgency).

--- a/crates/egret_fleet/src/lib.rs
+++ b/crates/egret_fleet/src/lib.rs
@@ -40,6 +40,6 @@
 pub use feed::{Feed, FeedCursor, FeedDelta, Interest};
 pub use fleet::{Fleet, Known, News};
 pub use status::{
-    BEGIN_TIME, BackendStatus, EngineWord, Life, LoadedModel, ProcessKind, ProcessStatus, Sighting,
-    SightingKey, version_of,
+    BEGIN_TIME, BackendStatus, EngineWord, Life, LoadedModel, ProcessKind, ProcessStatus,
+    QUICK_BEGIN_TIME, Sighting, SightingKey, version_of,
 };
--- a/crates/egret_fleet/src/status.rs
+++ b/crates/egret_fleet/src/status.rs
@@ -11,6 +11,10 @@
 /// Entries ask no engine this long before its weights are due; agents keep its link free from then.
 pub const BEGIN_TIME: Duration = Duration::from_millis(1_600);
 
+/// [`BEGIN_TIME`] at an engine whose answers begin at once, for requests that it admits first:
+/// three times the delay that counts as such, and the time to take a request back.
+pub const QUICK_BEGIN_TIME: Duration = Duration::from_millis(900);
+
 /// A moment in the lifetimes of a backend server or process; later ones are greater.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -64,6 +64,8 @@
     pub(crate) bound: Cell<Option<AdaptiveBound>>,
     /// How long the last answer took to begin.
     pub(crate) delay: Cell<Duration>,
+    /// When that was.
+    heard: Cell<Duration>,
     /// It refused a request for lack of room; it gets none until then.
     pub(crate) full_until: Cell<Duration>,
     /// Whether it stops what runs when its weights change, so that streams had better not move
@@ -84,6 +86,7 @@
             own: Cell::new(0),
             bound: Cell::new(None),
             delay: Cell::new(Duration::ZERO),
+            heard: Cell::default(),
             full_until: Cell::new(Duration::ZERO),
             moves_streams: Cell::default(),
             hold: Cell::new(hold),
@@ -94,6 +97,7 @@
     /// Notes that an answer began after `delay`.
     pub(crate) fn answered(&self, delay: Duration, objective: Duration, now: Duration) {
         self.delay.set(delay);
+        self.heard.set(now);
         if let Some(mut bound) = self.bound.get() {
             bound.answered(self.own.get(), delay, objective, now);
             self.bound.set(Some(bound));
@@ -107,6 +111,16 @@
         self.health.borrow().is_suspect() || self.delay.get() > WELL
     }
 
+    /// Tells whether answers have begun at once until now.
+    pub(crate) fn is_quick(&self, now: Duration) -> bool {
+        /// Time to the head of an answer where nobody waits: reading a prompt and some steps.
+        const QUICK: Duration = Duration::from_millis(300);
+        /// Time for which the last answer tells how it is.
+        const RECENT: Duration = Duration::from_millis(1_000);
+        let heard = self.heard.get();
+        !heard.is_zero() && now < heard + RECENT && self.delay.get() <= QUICK
+    }
+
     /// Notes that it had no room for a request.
     pub(crate) fn was_full(&self, now: Duration) {
         if let Some(mut bound) = self.bound.get() {
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use egret_fleet::{BEGIN_TIME, Fleet, ProcessKind, Sighting};
+use egret_fleet::{BEGIN_TIME, Fleet, ProcessKind, QUICK_BEGIN_TIME, Sighting};
 use egret_record::{DataCentre, FastMap, FastSet, WeightVersion};
 use egret_route::{CallAges, Distance, Holds, RetryBudget};
 use egret_rpc::Follower;
@@ -284,10 +284,29 @@
 
     /// Returns the version of a model that alone may answer, if others may not any more.
     pub(crate) fn strict_version(&self, model: &str, now: Duration) -> Option<WeightVersion> {
-        let grace = self.settings.version_grace.saturating_sub(BEGIN_TIME);
+        let grace = self.settings.version_grace.saturating_sub(QUICK_BEGIN_TIME);
         self.tables.borrow().due_version(model, grace, now)
     }
 
+    /// Tells whether an answer of an engine that holds a version begins before that is due.
+    pub(crate) fn begins_in_time(
+        &self,
+        backend: &Backend,
+        model: &str,
+        held: WeightVersion,
+        now: Duration,
+    ) -> bool {
+        let Some(due) = self.expires(model, Some(held), now) else { return true };
+        let time = if backend.is_sluggish() || self.is_narrow(&backend.status.borrow().address) {
+            SLOW_BEGIN_TIME
+        } else if backend.is_quick(now) {
+            QUICK_BEGIN_TIME
+        } else {
+            BEGIN_TIME
+        };
+        now + time <= due
+    }
+
     /// Tells whether engines leave a version of a model now or soon.
     pub(crate) fn is_left(&self, model: &str, held: WeightVersion) -> bool {
         self.tables.borrow().next_due(model, Duration::ZERO, Some(held)).is_some()
--- a/crates/egret_gateway/src/service.rs
+++ b/crates/egret_gateway/src/service.rs
@@ -277,10 +277,9 @@
         Some(model) => match (backend.version_of(model), version) {
             // An answer is made with one version, from its first event to its last.
             (Some(held), _) if wanted.weights.is_some_and(|begun| held != begun) => false,
-            (Some(held), Some(strict)) => held >= strict,
-            (Some(held), None) => {
-                let slow = backend.is_sluggish() || gateway.is_narrow(&status.address);
-                !slow || gateway.expires(model, Some(held), gateway.now()).is_none()
+            (Some(held), strict) => {
+                strict.is_none_or(|strict| held >= strict)
+                    && gateway.begins_in_time(backend, model, held, gateway.now())
             }
             (None, _) => false,
         },
--- a/crates/egret_gateway/src/wire.rs
+++ b/crates/egret_gateway/src/wire.rs
@@ -43,6 +43,8 @@
     pub organisation: Option<&'a str>,
     /// The version of weights that shall answer, if no other may.
     pub version: Option<WeightVersion>,
+    /// Whether it must begin soon, before others that wait at the backend server.
+    pub urgent: bool,
     /// The last event that the caller has.
     pub resume_after: Option<u64>,
 }
