Give up on an origin that hangs before a version is named

Cause: found while looking for answers without end. An agent beside an engine without weights asks the origin which version is the newest, and that call had no limit: a hung origin kept the agent from hearing of the next naming. Change: one place asks the origin for lists, with the limit that the others had.

--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use egret_record::FastMap;
+use egret_record::{FastMap, WeightVersion};
 use egret_weights::PieceList;
 use futures::{
     StreamExt as _,
@@ -90,6 +90,24 @@
         }
     }
 
+    /// Asks the origin which version of a model is the newest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`EngineError`] when the origin fails or says nothing for too long.
+    pub async fn newest(&self, model: &str) -> Result<WeightVersion, EngineError> {
+        Ok(self.list_of_origin(model, None).await?.0)
+    }
+
+    async fn list_of_origin(
+        &self,
+        model: &str,
+        version: Option<WeightVersion>,
+    ) -> Result<(WeightVersion, PieceList), EngineError> {
+        let asked = self.origin.list(model, version);
+        timeout(ORIGIN_TIMEOUT, asked).await.map_err(|_| too_late("origin"))?
+    }
+
     /// Fetches the piece list of a version.
     pub(crate) async fn list(
         &self,
@@ -100,10 +118,7 @@
             let list = match source {
                 Source::Agent(address) => self.list_of_agent(*address, target).await,
                 Source::Origin => {
-                    let asked = self.origin.list(&target.model, Some(target.version));
-                    let (_, list) =
-                        timeout(ORIGIN_TIMEOUT, asked).await.map_err(|_| too_late("origin"))??;
-                    Some(list)
+                    Some(self.list_of_origin(&target.model, Some(target.version)).await?.1)
                 }
             };
             if let Some(list) = list {
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -200,7 +200,7 @@
         let loaded = self.version_of_others(&model);
         let version = match loaded {
             Some(version) => version,
-            None => self.fetcher.origin.list(&model, None).await?.0,
+            None => self.fetcher.newest(&model).await?,
         };
         Ok(Some(Target { model, version }))
     }
