--- a/crates/egret_loader/src/queue.rs
+++ b/crates/egret_loader/src/queue.rs
@@ -27,7 +27,7 @@
 /// Answers without a piece after which it is left alone for a while; until then it is on its way,
 /// most likely, along a tree of a few agents.
 const FRONT_TRIES: u32 = 3;
-/// Time for which it is left alone if others can be asked for in its place: as long as an agent
+/// Time for which it is left alone, so that others are asked for in its place: as long as an agent
 /// waits for a piece before it says that it has none.
 const REST_TIME: Duration = Duration::from_millis(250);
 
@@ -160,25 +160,22 @@
             return None;
         }
         let now = Instant::now();
-        let mut first = |resting: bool| {
-            self.waiting.iter_mut().enumerate().find_map(|(at, one)| {
-                let Waiting { index, patience, .. } = one;
-                if patience.rests.is_some_and(|rests| now < rests) != resting {
-                    return None;
-                }
-                let Some(source) = source(*index, patience) else {
-                    patience.since.get_or_insert(now);
-                    return None;
-                };
-                let is_full = match source {
-                    Source::Agent(_) => agents_full,
-                    Source::Origin => origin_full,
-                };
-                (!is_full).then_some((at, source))
-            })
-        };
-        // A piece rests to make room for others; where none wants it, it may come at any moment.
-        let (at, source) = first(false).or_else(|| first(true))?;
+        let found = self.waiting.iter_mut().enumerate().find_map(|(at, one)| {
+            let Waiting { index, patience, .. } = one;
+            if patience.rests.is_some_and(|rests| now < rests) {
+                return None;
+            }
+            let Some(source) = source(*index, patience) else {
+                patience.since.get_or_insert(now);
+                return None;
+            };
+            let is_full = match source {
+                Source::Agent(_) => agents_full,
+                Source::Origin => origin_full,
+            };
+            (!is_full).then_some((at, source))
+        });
+        let (at, source) = found?;
         let Waiting { place, index, patience } = self.waiting.remove(at)?;
         *self.count(source) += 1;
         self.running.push(index);
