Let requests end at engines where not all may go on elsewhere

Cause: found on reading the change over. Engines that change their weights stop what runs, whatever it is: a stream that may not be resumed, or may run on one backend server only, would be broken off for good. Ruled out: stopping the rest alone (the engine knows one mode for all that it runs). Change: Catalog::may_move looks at the routes of a service; where one may not go on elsewhere, all end first, as before.

--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -399,7 +399,10 @@
             .filter(|one| one.service == own.service && one.name != own.name && !one.switching);
         let held = |one: &ProcessStatus| version_of(&one.loaded.as_ref()?.models, model);
         let others_serve = others.into_iter().any(|one| held(one) == Some(loaded));
-        if WavePlan::moves_streams(self.rank()) && others_serve {
+        let view = self.follower.view();
+        let service = own.service.as_deref().unwrap_or_default();
+        let may_move = view.catalog.as_ref().is_some_and(|catalog| catalog.may_move(service));
+        if WavePlan::moves_streams(self.rank()) && others_serve && may_move {
             Running::Stop
         } else {
             Running::Finish
--- a/crates/egret_record/src/catalog.rs
+++ b/crates/egret_record/src/catalog.rs
@@ -272,6 +272,16 @@
     pub fn origin(&self) -> Option<&OriginSpec> {
         self.services.values().find_map(|service| service.origin.as_ref())
     }
+
+    /// Tells whether all that a service runs may be stopped and go on at another backend server.
+    #[must_use]
+    pub fn may_move(&self, service: &str) -> bool {
+        let mut routes = self.routes.values();
+        routes.all(|route| {
+            let resumes = route.kind == RouteKind::Stream { resumable: true } && route.attempts > 1;
+            resumes || route.targets.iter().all(|target| target.service != service)
+        })
+    }
 }
 
 /// What differs between two versions of a catalog.
