--- a/crates/egret_fleet/src/status.rs
+++ b/crates/egret_fleet/src/status.rs
@@ -12,7 +12,7 @@
 pub const BEGIN_TIME: Duration = Duration::from_millis(1_600);
 
 /// [`BEGIN_TIME`] at an engine whose answers begin at once, for requests that it admits first:
-/// three times the delay that counts as such, and the time to take a request back.
+/// three times the delay that counts as such.
 pub const QUICK_BEGIN_TIME: Duration = Duration::from_millis(900);
 
 /// A moment in the lifetimes of a backend server or process; later ones are greater.
