Log the request rates that backend servers name

Cause: the logs of the incident do not tell what an entry knows of the limit that a backend server names, so two of the hypotheses look the same in them. Change: the adapter decodes the limit as LimitNotice; entries log when a limit begins, changes and ends. A response to a request that was sent before the limit was last named does not end it. Nothing is limited yet.

--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -124,6 +124,9 @@
         backend.breaker.borrow_mut().record_failure(Failure::BadResponse, gateway.now());
         return Outcome::Broken;
     }
+    if !meta.mismatch {
+        gateway.record_limit(backend, &meta, started);
+    }
     if let Some(cold) = meta.cold_for {
         let now = gateway.now();
         gateway.mark_cold(backend, now + cold, now);
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -8,7 +8,8 @@
 };
 
 use egret_fleet::{FAST_START_DELAY_MAX, Fleet, ProcessKind, START_DELAY_MAX, StatusUpdate};
-use egret_record::{DataCentre, FastMap, FastSet, WeightVersion};
+use egret_permits::LimitNotice;
+use egret_record::{DataCentre, FastMap, FastSet, RateLimit, WeightVersion};
 use egret_route::{BackOffs, Distance, RequestAges, RetryBudget};
 use egret_rpc::Follower;
 use egret_weights::UpdateSchedule;
@@ -268,6 +269,19 @@
         self.back_offs.borrow_mut().insert(&status.id, status.stamp.incarnation, back_off, now);
     }
 
+    /// Records the rate limit that a response names, to a request that was sent at `sent`.
+    pub(crate) fn record_limit(&self, backend: &Backend, meta: &BackendHead, sent: Duration) {
+        if !meta.signed && meta.rate_limit == LimitNotice::Unlimited {
+            return;
+        }
+        let mut limit = backend.rate_limit.get();
+        let before = limit.rate();
+        if limit.observe(meta.rate_limit, sent, self.now()) {
+            log_limit(&backend.status.borrow().id, before, limit.rate());
+        }
+        backend.rate_limit.set(limit);
+    }
+
     pub(crate) fn is_switching(&self, engine: &SocketAddr) -> bool {
         self.switching.borrow().contains(engine)
     }
@@ -411,6 +425,18 @@
     }
 }
 
+/// Logs that the rate limit of a backend server begins, changes or ends.
+fn log_limit(backend: &str, before: Option<RateLimit>, limit: Option<RateLimit>) {
+    match (before, limit) {
+        (None, Some(limit)) => log::info!("event=limit_began backend={backend} per_s={limit}"),
+        (Some(before), Some(limit)) => {
+            log::info!("event=limit_changed backend={backend} per_s={limit} before={before}");
+        }
+        (Some(before), None) => log::info!("event=limit_ended backend={backend} before={before}"),
+        (None, None) => {}
+    }
+}
+
 /// Returns the engines that stop running requests when they change their weights.
 fn interrupting_engines(fleet: &Fleet) -> FastSet<SocketAddr> {
     let mut services: FastMap<&str, Vec<_>> = FastMap::default();
--- a/crates/egret_gateway/src/protocol.rs
+++ b/crates/egret_gateway/src/protocol.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use egret_permits::LimitNotice;
 use egret_record::WeightVersion;
 use egret_route::Refusal;
 use http::{Request, Response, request, response};
@@ -64,6 +65,8 @@
     pub leaving: bool,
     /// For how long it accepts no further request.
     pub retry_after: Option<Duration>,
+    /// How many requests per second it accepts from all entries together.
+    pub rate_limit: LimitNotice,
     /// How much longer the backend server stays cold.
     pub cold_for: Option<Duration>,
     /// The weight version that answers.
--- a/crates/egret_record/src/lib.rs
+++ b/crates/egret_record/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `catalog`: routes, services and organisations, declared in one document.
 //! - `name`: identifiers, as a distinct type for each kind.
 //! - `digest`: content digests.
+//! - `rate`: request rates.
 //! - `record`: a record in its normalized form, independent of its schema.
 //! - `schema`: the two record schemas that operators write.
 //! - `view`: the shared view and the changes between its revisions.
@@ -29,6 +30,7 @@
 mod digest;
 mod name;
 mod persistent;
+mod rate;
 mod record;
 mod schema;
 mod view;
@@ -42,6 +44,7 @@
     BackendName, CatalogVersion, DataCentre, EntryName, Fence, IdempotencyKey, MemberId, NameError,
     OperationId, Organisation, RecordName, Revision, SessionId, WeightVersion,
 };
+pub use rate::RateLimit;
 pub use record::{
     CallRule, ModelTarget, Objective, Placement, Priority, Record, ServiceTarget, Target, Weight,
     has_prefix,
