Keep the request rate that a backend server names with permits from the leader

What callers saw: nothing yet; a backend server in need got several times the requests that it accepts. Cause: entries did not decode the limit, and nothing in the system counts what all entries send to one backend server. Its class: a limit for all, where each entry acts on its own view (as the cold limit, which is kept by equal shares of the largest number of entries seen). Change: egret_permits (no I/O): the leader keeps a token bucket for each limited backend server and grants permits that live for a second from the request for them; entries send a limited backend server nothing without one. The slot is where it is taken, so retries, resumed streams and probes count; it is used when the request is sent and returned otherwise. The leader announces limits to all entries through the fleet. A new leader starts with empty buckets; grants of an earlier term are ignored.

--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -5,6 +5,8 @@
 use egret_consensus::{
     Envelope, Index, LogEntry, Member, Membership, Node, Payload, Role, Snapshot, Term,
 };
+use egret_fleet::{BackendLimit, StatusStamp, StatusUpdate};
+use egret_permits::{Allocator, PermitWant};
 use egret_record::{FastMap, MemberId, Revision, WeightVersion};
 use egret_rpc::{Command, LeaveReason, Reply, SharedFleet, VersionAnnouncement, decode, encode};
 use egret_store::{Journal, StoreError};
@@ -50,6 +52,10 @@
     pub(crate) state: State,
     /// The leases of entries and agents, while this member is the leader.
     pub(crate) leases: Option<Leases>,
+    /// The permits for limited backend servers, while this member is the leader.
+    permits: Option<Allocator>,
+    /// Number of limits that this member announced, for their order.
+    announced_limits: u64,
     /// Instances that request to join the cluster, by name.
     pub(crate) join_requests: BTreeMap<String, (MemberId, Member)>,
     /// Instances that replied to a hello call, which may not be in the membership yet.
@@ -91,6 +97,8 @@
             node: parts.node,
             state: parts.state,
             leases: None,
+            permits: None,
+            announced_limits: 0,
             join_requests: BTreeMap::new(),
             introduced: FastMap::default(),
             fleet: SharedFleet::default(),
@@ -196,7 +204,7 @@
     }
 
     /// Records a status update of a backend server or process.
-    pub(crate) fn observe(&mut self, update: &egret_fleet::StatusUpdate) {
+    pub(crate) fn observe(&mut self, update: &StatusUpdate) {
         let now = self.now();
         if self.fleet.observe(update, now) {
             self.urgent.notify_waiters();
@@ -277,6 +285,7 @@
             if self.leases.take().is_some() {
                 log::warn!("event=leadership_lost term={}", self.node.term().0);
             }
+            self.permits = None;
             for (_, proposal) in std::mem::take(&mut self.pending) {
                 let _ = proposal.reply.send(None);
             }
@@ -285,6 +294,7 @@
         if self.leases.is_none() {
             log::info!("event=leadership_won term={}", self.node.term().0);
             self.leases = Some(Leases::new(self.lease_duration, now));
+            self.permits = Some(self.restore_permits(now));
         }
         if !self.node.holds_lease(now) {
             return;
@@ -295,6 +305,49 @@
         self.apply_membership_policy(now);
     }
 
+    /// Returns an allocator of permits with the limits that earlier leaders announced.
+    fn restore_permits(&self, now: Duration) -> Allocator {
+        let mut permits = Allocator::default();
+        for known in self.fleet.fleet.limits() {
+            if let Some(limit) = known.limit {
+                permits.restore(&known.backend, known.stamp.incarnation, limit, now);
+            }
+        }
+        permits
+    }
+
+    /// Grants permits to an entry, and announces the limits that it shows to have changed.
+    ///
+    /// Returns none if this member is not the leader.
+    pub(crate) fn acquire_permits(&mut self, wants: &[PermitWant]) -> Option<Reply> {
+        /// Announcements of one term that have an order of their own.
+        const ANNOUNCEMENT_BITS: u32 = 24;
+        let now = self.now();
+        let term = self.node.term().0;
+        let permits = self.permits.as_mut()?;
+        let mut changes = Vec::new();
+        let mut grants = Vec::with_capacity(wants.len());
+        for want in wants {
+            let (grant, change) = permits.acquire(want, now);
+            metrics::counter!("egret_control_permits_total", "outcome" => "granted")
+                .increment(u64::from(grant.count));
+            metrics::counter!("egret_control_permits_total", "outcome" => "returned")
+                .increment(u64::from(want.unused));
+            grants.push(grant);
+            changes.extend(change.map(|change| (want.incarnation, change)));
+        }
+        for (incarnation, change) in changes {
+            self.announced_limits += 1;
+            let seq = (term << ANNOUNCEMENT_BITS) + self.announced_limits;
+            self.observe(&StatusUpdate::Limit(BackendLimit {
+                backend: change.backend,
+                limit: change.after,
+                stamp: StatusStamp { incarnation, seq },
+            }));
+        }
+        Some(Reply::Permits { term, grants })
+    }
+
     /// Proposes one plan for all backend servers that joined or left recently.
     fn plan_if_due(&mut self, now: Duration) {
         /// Shortest time between two plans; short compared with the start of an agent.
--- a/crates/egret_fleet/src/fleet.rs
+++ b/crates/egret_fleet/src/fleet.rs
@@ -5,7 +5,7 @@
 use egret_record::FastMap;
 
 use crate::status::{
-    BackendStatus, ProcessKind, ProcessStatus, StatusKey, StatusStamp, StatusUpdate,
+    BackendLimit, BackendStatus, ProcessKind, ProcessStatus, StatusKey, StatusStamp, StatusUpdate,
 };
 
 /// How long a departure is remembered, so that late reports do not undo it.
@@ -54,6 +54,9 @@
         {
             return UpdateKind::Stale;
         }
+        if let StatusUpdate::Gone(StatusKey::Backend(id), stamp) = update {
+            self.remove_limit(id, stamp.incarnation);
+        }
         let earlier = self.known.get(&key);
         let change = earlier.is_none_or(|known| update.differs(&known.status));
         let changed = earlier.filter(|_| !change).map_or(now, |known| known.changed);
@@ -73,7 +76,7 @@
             let limit = match known.status {
                 StatusUpdate::Backend(_) => backends,
                 StatusUpdate::Process(_) => processes,
-                StatusUpdate::Gone(..) => continue,
+                StatusUpdate::Gone(..) | StatusUpdate::Limit(_) => continue,
             };
             if now > known.last_seen + limit {
                 known.status = StatusUpdate::Gone(key.clone(), known.status.stamp());
@@ -82,6 +85,11 @@
                 gone.push(known.status.clone());
             }
         }
+        for update in &gone {
+            if let StatusUpdate::Gone(StatusKey::Backend(id), stamp) = update {
+                self.remove_limit(id, stamp.incarnation);
+            }
+        }
         self.known.retain(|_, known| {
             !matches!(known.status, StatusUpdate::Gone(..))
                 || now < known.last_seen + GONE_RETENTION
@@ -111,7 +119,15 @@
     pub fn backends(&self) -> impl Iterator<Item = (&BackendStatus, Duration)> {
         self.known.values().filter_map(|known| match &known.status {
             StatusUpdate::Backend(backend) => Some((backend, known.last_seen)),
-            StatusUpdate::Process(_) | StatusUpdate::Gone(..) => None,
+            StatusUpdate::Process(_) | StatusUpdate::Gone(..) | StatusUpdate::Limit(_) => None,
+        })
+    }
+
+    /// Returns the rate limits of backend servers, also those that have ended.
+    pub fn limits(&self) -> impl Iterator<Item = &BackendLimit> {
+        self.known.values().filter_map(|known| match &known.status {
+            StatusUpdate::Limit(limit) => Some(limit),
+            _ => None,
         })
     }
 
@@ -128,6 +144,15 @@
         })
     }
 
+    /// Removes the limit of a backend server that is gone, unless it is of a later incarnation.
+    fn remove_limit(&mut self, backend: &str, incarnation: u64) {
+        let key = StatusKey::Limit(backend.to_owned());
+        let known = self.known.get(&key).map(|known| known.status.stamp().incarnation);
+        if known.is_some_and(|known| known <= incarnation) {
+            self.known.remove(&key);
+        }
+    }
+
     /// Assigns the address to `backend`, unless a later incarnation with another id has it.
     fn claim_address(&mut self, backend: &BackendStatus, now: Duration) -> bool {
         match self.addresses.get(&backend.address) {
--- a/crates/egret_fleet/src/lib.rs
+++ b/crates/egret_fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! forward them to each other without consensus, and the latest report of the
 //! latest incarnation wins wherever it arrives.
 //!
-//! - `status`: the status that backend servers and processes report.
+//! - `status`: the status that backend servers and processes report, and limits by the leader.
 //! - `fleet`: the latest status of each, with its age.
 //! - `feed`: a log of recent status updates for followers.
 //!
@@ -40,6 +40,6 @@
 pub use feed::{Feed, FeedCursor, FeedDelta, Interest};
 pub use fleet::{Fleet, KnownStatus, UpdateKind};
 pub use status::{
-    BackendStatus, EngineStatus, FAST_START_DELAY_MAX, LoadedModel, ProcessKind, ProcessStatus,
-    START_DELAY_MAX, StatusKey, StatusStamp, StatusUpdate, version_of,
+    BackendLimit, BackendStatus, EngineStatus, FAST_START_DELAY_MAX, LoadedModel, ProcessKind,
+    ProcessStatus, START_DELAY_MAX, StatusKey, StatusStamp, StatusUpdate, version_of,
 };
--- a/crates/egret_fleet/src/status.rs
+++ b/crates/egret_fleet/src/status.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use egret_record::{DataCentre, WeightVersion};
+use egret_record::{DataCentre, RateLimit, WeightVersion};
 use serde::{Deserialize, Serialize};
 
 /// Longest delay from choosing a busy engine to the start of its answer.
@@ -139,13 +139,28 @@
     pub stamp: StatusStamp,
 }
 
-/// Identifies a backend server or process.
+/// The request rate that a backend server accepts from all entries together.
+///
+/// The leader of the control instances announces it, by what entries tell it of responses.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendLimit {
+    /// The id of the backend server.
+    pub backend: String,
+    /// The limit; none if it has ended.
+    pub limit: Option<RateLimit>,
+    /// The incarnation of the backend server, and the order of the announcement.
+    pub stamp: StatusStamp,
+}
+
+/// Identifies what an update is about.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum StatusKey {
     /// A backend server, by its id.
     Backend(String),
     /// A process, by its name.
     Process(String),
+    /// The rate limit of a backend server, by its id.
+    Limit(String),
 }
 
 /// An update about a backend server or process.
@@ -157,6 +172,8 @@
     Process(ProcessStatus),
     /// It is gone as of this stamp.
     Gone(StatusKey, StatusStamp),
+    /// The leader announced the rate limit of a backend server.
+    Limit(BackendLimit),
 }
 
 impl StatusUpdate {
@@ -167,6 +184,7 @@
             Self::Backend(backend) => StatusKey::Backend(backend.id.clone()),
             Self::Process(process) => StatusKey::Process(process.name.clone()),
             Self::Gone(key, _) => key.clone(),
+            Self::Limit(limit) => StatusKey::Limit(limit.backend.clone()),
         }
     }
 
@@ -177,6 +195,7 @@
             Self::Backend(backend) => backend.stamp,
             Self::Process(process) => process.stamp,
             Self::Gone(_, stamp) => *stamp,
+            Self::Limit(limit) => limit.stamp,
         }
     }
 
--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -89,6 +89,10 @@
         urgent: slot.expires.is_some_and(|due| due < gateway.now() + START_DELAY_MAX),
         resume_after: job.last_event.or(job.call.resume_after),
     };
+    if !slot.use_permit(gateway.now()) {
+        outcome("not_sent", &"permit=expired");
+        return Outcome::NotSent;
+    }
     let request = gateway.protocol.backend_request(&job.head, &job.body, &attempt_head);
     let until_due = slot.expires.map(|due| due.saturating_sub(gateway.now() + CANCEL_MARGIN));
     let wait = until_due.unwrap_or(Duration::MAX).min(head_timeout).min(left);
--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -8,7 +8,6 @@
 
 use bytes::Bytes;
 use egret_fleet::{BackendStatus, EngineStatus, version_of};
-use egret_permits::KnownLimit;
 use egret_record::WeightVersion;
 use egret_route::{AdaptiveLimit, BackOff, CircuitBreaker, ColdRateLimit};
 use http_body_util::Full;
@@ -74,8 +73,6 @@
     pub(crate) interrupts_streams: Cell<bool>,
     /// The back-off that it asked for in its responses.
     pub(crate) back_off: Cell<BackOff>,
-    /// The request rate that it named in its responses.
-    pub(crate) rate_limit: Cell<KnownLimit>,
     idle: RefCell<Vec<IdleConnection>>,
 }
 
@@ -93,7 +90,6 @@
             full_until: Cell::new(Duration::ZERO),
             interrupts_streams: Cell::default(),
             back_off: Cell::new(back_off),
-            rate_limit: Cell::default(),
             idle: RefCell::default(),
         }
     }
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -7,13 +7,16 @@
     time::Duration,
 };
 
-use egret_fleet::{FAST_START_DELAY_MAX, Fleet, ProcessKind, START_DELAY_MAX, StatusUpdate};
-use egret_permits::LimitNotice;
-use egret_record::{DataCentre, FastMap, FastSet, RateLimit, WeightVersion};
+use egret_fleet::{
+    FAST_START_DELAY_MAX, Fleet, ProcessKind, START_DELAY_MAX, StatusStamp, StatusUpdate,
+};
+use egret_permits::{LimitNotice, Permit, Permits};
+use egret_record::{DataCentre, FastMap, FastSet, WeightVersion};
 use egret_route::{BackOffs, Distance, RequestAges, RetryBudget};
-use egret_rpc::Follower;
+use egret_rpc::{self as rpc, Follower};
 use egret_weights::UpdateSchedule;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
+use tokio::{sync::Notify, time::timeout};
 
 use crate::{
     BackendHead, ConnectionLimits, Protocol, backend::Backend, slots::SlotQueue, tables::Tables,
@@ -53,6 +56,10 @@
     backends: RefCell<FastMap<String, Rc<Backend>>>,
     /// Back-offs that backend servers asked for, including those no longer in the fleet.
     back_offs: RefCell<BackOffs>,
+    /// Rate limits of backend servers, with the permits to send them requests.
+    pub(crate) permits: Rc<RefCell<Permits>>,
+    /// Triggered when the leader may have to be asked for permits.
+    permit_needed: Notify,
     /// Engines whose agents are about to change their weights.
     switching: RefCell<FastSet<SocketAddr>>,
     /// Engines whose links are congested by weight transfers.
@@ -91,6 +98,8 @@
             tables: RefCell::default(),
             backends: RefCell::default(),
             back_offs: RefCell::default(),
+            permits: Rc::default(),
+            permit_needed: Notify::new(),
             switching: RefCell::default(),
             congested: RefCell::default(),
             entries: Cell::new(0),
@@ -103,7 +112,9 @@
         })
     }
 
-    /// Follows the control state and assigns slots to queued requests; runs until dropped.
+    /// Follows the control state, asks for permits and assigns slots to queued requests.
+    ///
+    /// Runs until dropped.
     pub async fn run(self: Rc<Self>) {
         let follow = async {
             let mut updates = self.follower.updates();
@@ -127,6 +138,7 @@
         tokio::select! {
             () = follow => {}
             () = self.slots.run(&self) => {}
+            () = self.run_permits() => {}
         }
     }
 
@@ -274,12 +286,74 @@
         if !meta.signed && meta.rate_limit == LimitNotice::Unlimited {
             return;
         }
-        let mut limit = backend.rate_limit.get();
-        let before = limit.rate();
-        if limit.observe(meta.rate_limit, sent, self.now()) {
-            log_limit(&backend.status.borrow().id, before, limit.rate());
+        let status = backend.status.borrow();
+        let (id, incarnation) = (&status.id, status.stamp.incarnation);
+        let mut permits = self.permits.borrow_mut();
+        let change = permits.observe(id, incarnation, meta.rate_limit, sent, self.now());
+        if let Some(change) = change {
+            log::info!("{change} source=response");
+            self.permit_needed.notify_one();
         }
-        backend.rate_limit.set(limit);
+    }
+
+    /// Acquires the right to send a request to a backend server; `new` as for [`Permits::acquire`].
+    ///
+    /// Without it, returns when the leader may grant it.
+    pub(crate) fn acquire_permit(
+        &self,
+        backend: &Backend,
+        new: bool,
+        now: Duration,
+    ) -> Result<Permit, Duration> {
+        let status = backend.status.borrow();
+        let mut permits = self.permits.borrow_mut();
+        let acquired = permits.acquire(&status.id, status.stamp.incarnation, new, now);
+        if acquired != Ok(Permit::UNLIMITED) {
+            self.permit_needed.notify_one();
+        }
+        acquired
+    }
+
+    /// Asks the leader for permits as they are needed; runs until dropped.
+    async fn run_permits(&self) {
+        /// Timeout of a request; the permits of a later reply would hardly be valid any more.
+        const REPLY_TIMEOUT: Duration = Duration::from_millis(600);
+        /// Time over which entries spread their requests for the next permit.
+        const SPREAD_MAX: Duration = Duration::from_millis(100);
+        loop {
+            let next = self.permits.borrow().next_request();
+            let wait = next.map_or(Duration::MAX, |next| next.saturating_sub(self.now()));
+            let _ = timeout(wait, self.permit_needed.notified()).await;
+            let sent = self.now();
+            let Some(wants) = self.permits.borrow_mut().request(sent) else { continue };
+            let request = rpc::Request::AcquirePermits(wants);
+            let reply = self.follower.call_leader(&request, REPLY_TIMEOUT).await;
+            let now = self.now();
+            let mut permits = self.permits.borrow_mut();
+            let Some(rpc::Reply::Permits { term, grants }) = reply else {
+                permits.fail(now);
+                continue;
+            };
+            let spread = SPREAD_MAX.mul_f64(self.random().random());
+            for change in permits.apply(term, &grants, sent, now, spread) {
+                log::info!("{change} source=leader");
+            }
+            self.slots.notify();
+        }
+    }
+
+    /// Takes over the rate limits that the leader announced.
+    fn refresh_limits(&self, fleet: &Fleet, now: Duration) {
+        let mut permits = self.permits.borrow_mut();
+        for known in fleet.limits() {
+            let StatusStamp { incarnation, seq } = known.stamp;
+            let change = permits.announce(&known.backend, incarnation, known.limit, seq, now);
+            if let Some(change) = change {
+                log::info!("{change} source=leader");
+            }
+        }
+        let backends = self.backends.borrow();
+        permits.retain(|id| backends.contains_key(id), now);
     }
 
     pub(crate) fn is_switching(&self, engine: &SocketAddr) -> bool {
@@ -392,6 +466,9 @@
             }
             backend.status.replace(status.clone());
         }
+        drop(backends);
+        self.refresh_limits(&fleet, now);
+        let backends = self.backends.borrow();
         let mut loaded = FastMap::default();
         let (mut congested, mut switching) = (FastSet::default(), FastSet::default());
         for agent in fleet.processes(ProcessKind::Agent) {
@@ -425,18 +502,6 @@
     }
 }
 
-/// Logs that the rate limit of a backend server begins, changes or ends.
-fn log_limit(backend: &str, before: Option<RateLimit>, limit: Option<RateLimit>) {
-    match (before, limit) {
-        (None, Some(limit)) => log::info!("event=limit_began backend={backend} per_s={limit}"),
-        (Some(before), Some(limit)) => {
-            log::info!("event=limit_changed backend={backend} per_s={limit} before={before}");
-        }
-        (Some(before), None) => log::info!("event=limit_ended backend={backend} before={before}"),
-        (None, None) => {}
-    }
-}
-
 /// Returns the engines that stop running requests when they change their weights.
 fn interrupting_engines(fleet: &Fleet) -> FastSet<SocketAddr> {
     let mut services: FastMap<&str, Vec<_>> = FastMap::default();
--- a/crates/egret_gateway/src/slots.rs
+++ b/crates/egret_gateway/src/slots.rs
@@ -1,7 +1,12 @@
 //! Slots at backend servers: load balancing, and a queue of requests when all are taken.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
+use egret_permits::{Permit, Permits};
 use egret_record::{FastMap, FastSet, Route, ServiceSpec, WeightVersion};
 use egret_route::{
     AdaptiveLimit, BackendLoad, Code, ColdRateLimit, Distance, Refusal, WaitQueue, Waiter,
@@ -57,11 +62,32 @@
     pub(crate) expires: Option<Duration>,
     /// Whether the request probes a backend server whose circuit breaker is open.
     probe: bool,
+    /// The permit to send the request; none once it is sent.
+    permit: Cell<Option<Permit>>,
+    permits: Rc<RefCell<Permits>>,
+    /// When the slot was acquired.
+    acquired: Duration,
     freed: Rc<Notify>,
 }
 
+impl Slot {
+    /// Uses the permit for the request; returns whether the request may still be sent at `now`.
+    pub(crate) fn use_permit(&self, now: Duration) -> bool {
+        let is_valid = self.permit.get().is_some_and(|permit| permit.is_valid(now));
+        if is_valid {
+            self.permit.set(None);
+        }
+        is_valid
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            let status = self.backend.status.borrow();
+            let incarnation = status.stamp.incarnation;
+            self.permits.borrow_mut().release(&status.id, incarnation, permit, self.acquired);
+        }
         let in_flight = &self.backend.in_flight;
         in_flight.set(in_flight.get().saturating_sub(1));
         if self.probe {
@@ -90,7 +116,8 @@
     None,
     /// All backend servers that offer it are full or unhealthy.
     Room,
-    /// All backend servers that offer it asked for no requests before this time.
+    /// All backend servers that offer it accept no requests before this time, because they asked
+    /// for that or are at their rate limit.
     Held(Duration),
 }
 
@@ -107,6 +134,11 @@
         }
     }
 
+    /// Lets queued requests try again, after something other than a slot became available.
+    pub(crate) fn notify(&self) {
+        self.freed.notify_one();
+    }
+
     /// Records how long a response of a service took to start.
     pub(crate) fn record_response(&self, service: &str, delay: Duration) {
         /// Weight of one response in the moving average, as one part in this many.
@@ -150,7 +182,7 @@
             };
             let next = self.waiting.borrow_mut().pop(now, is_eligible);
             let Some((waiter, (wanted, reply))) = next else { break };
-            match self.try_acquire(gateway, &wanted) {
+            match self.try_acquire(gateway, &wanted, false) {
                 Ok(slot) => {
                     let _ = reply.send(slot);
                 }
@@ -175,7 +207,7 @@
         let now = gateway.now();
         let has_waiters = !self.waiting.borrow().is_empty();
         let yields = self.must_yield(&wanted, now);
-        let no_slot = match self.try_acquire(gateway, &wanted) {
+        let no_slot = match self.try_acquire(gateway, &wanted, true) {
             Ok(slot) if !yields => return Ok(slot),
             Ok(_) => NoSlot::Room,
             Err(no_slot) => no_slot,
@@ -183,7 +215,7 @@
         if let NoSlot::Held(until) = no_slot
             && until >= wanted.wait_until
         {
-            let message = "all backend servers asked for a pause; come back after it";
+            let message = "all backend servers accept no requests for now; come back later";
             let wait = until.saturating_sub(now);
             return Err(Refusal::not_run(Code::Overloaded, message).retry_after(wait));
         }
@@ -226,8 +258,13 @@
         })
     }
 
-    /// Acquires a slot without waiting.
-    fn try_acquire(&self, gateway: &Gateway, wanted: &SlotRequest) -> Result<Slot, NoSlot> {
+    /// Acquires a slot without waiting; `new` tells whether this is the first try for the request.
+    fn try_acquire(
+        &self,
+        gateway: &Gateway,
+        wanted: &SlotRequest,
+        new: bool,
+    ) -> Result<Slot, NoSlot> {
         let now = gateway.now();
         let tables = gateway.tables();
         let spec =
@@ -239,23 +276,32 @@
             .values()
             .filter(|backend| is_eligible(gateway, backend, wanted, version))
             .collect();
-        let back_off = eligible.iter().map(|backend| backend.back_off.get().until()).min();
-        let back_off = back_off.filter(|until| *until > now).map(NoSlot::Held);
+        let offered = eligible.clone();
         eligible.retain(|backend| !wanted.avoid.contains(&backend.status.borrow().id));
         let eligible = usable_subset(gateway, eligible);
         if eligible.is_empty() {
-            return Err(back_off.unwrap_or(NoSlot::None));
+            return Err(held_until(&offered, &[], now).map_or(NoSlot::None, NoSlot::Held));
         }
         let spacing = ColdRateLimit::spacing(spec.cold_per_s, gateway.peak_entries());
         let available: Vec<_> =
             eligible.into_iter().filter(|backend| is_available(backend, spacing, now)).collect();
-        let loads = estimate_loads(gateway, &available, &spec);
-        let uninterrupted = uninterrupted_loads(gateway, wanted, &available, &loads);
-        let index = choose_cheapest(&uninterrupted, &mut *gateway.random());
-        let Some(index) = index.or_else(|| choose_cheapest(&loads, &mut *gateway.random())) else {
-            return Err(back_off.unwrap_or(NoSlot::Room));
+        let mut loads = estimate_loads(gateway, &available, &spec);
+        let mut denied = Vec::new();
+        let (backend, permit) = loop {
+            let uninterrupted = uninterrupted_loads(gateway, wanted, &available, &loads);
+            let index = choose_cheapest(&uninterrupted, &mut *gateway.random());
+            let index = index.or_else(|| choose_cheapest(&loads, &mut *gateway.random()));
+            let Some(index) = index else {
+                return Err(held_until(&offered, &denied, now).map_or(NoSlot::Room, NoSlot::Held));
+            };
+            match gateway.acquire_permit(available[index], new, now) {
+                Ok(permit) => break (available[index].clone(), permit),
+                Err(until) => {
+                    loads[index].limit = 0;
+                    denied.push((available[index], until));
+                }
+            }
         };
-        let backend = available[index].clone();
         backend.cold_limit.borrow_mut().acquire(spacing, now);
         backend.breaker.borrow_mut().record_sent();
         let probe = backend.breaker.borrow().is_tripped();
@@ -275,7 +321,16 @@
             .as_ref()
             .and_then(|model| gateway.expires(model, backend.version_of(model).max(version), now));
         let version = wanted.weights.or(version);
-        Ok(Slot { backend, version, expires, probe, freed: self.freed.clone() })
+        Ok(Slot {
+            backend,
+            version,
+            expires,
+            probe,
+            permit: Cell::new(Some(permit)),
+            permits: gateway.permits.clone(),
+            acquired: now,
+            freed: self.freed.clone(),
+        })
     }
 }
 
@@ -329,6 +384,22 @@
     chosen
 }
 
+/// Returns when the first of the backend servers accepts requests again, if all accept none now.
+///
+/// `denied` are those at their rate limit, each with when it may be sent a request.
+fn held_until(
+    offered: &[&Rc<Backend>],
+    denied: &[(&Rc<Backend>, Duration)],
+    now: Duration,
+) -> Option<Duration> {
+    let until = |backend: &&Rc<Backend>| {
+        let denied = denied.iter().find(|(denied, _)| Rc::ptr_eq(denied, backend));
+        let back_off = backend.back_off.get().until();
+        denied.map_or(back_off, |(_, until)| back_off.max(*until))
+    };
+    offered.iter().map(until).min().filter(|until| *until > now)
+}
+
 /// Returns whether a backend server is healthy and may be sent a request now.
 fn is_available(backend: &Backend, spacing: Duration, now: Duration) -> bool {
     backend.breaker.borrow().is_usable(now)
--- a/crates/egret_permits/src/limit.rs
+++ b/crates/egret_permits/src/limit.rs
@@ -1,6 +1,6 @@
 //! The rate limit that responses of one backend server name.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use egret_record::RateLimit;
 
@@ -61,7 +61,14 @@
         self.rate
     }
 
-    fn update(&mut self, rate: Option<RateLimit>, as_of: Duration) -> bool {
+    /// Returns when the response that shows this was received, or its request sent if it names none.
+    #[must_use]
+    pub const fn as_of(&self) -> Duration {
+        self.as_of
+    }
+
+    /// Records the limit as of a time, unless something later is known; returns whether it changed.
+    pub(crate) fn update(&mut self, rate: Option<RateLimit>, as_of: Duration) -> bool {
         if as_of < self.as_of {
             return false;
         }
@@ -69,3 +76,30 @@
         std::mem::replace(&mut self.rate, rate) != rate
     }
 }
+
+/// A limit that began, changed or ended; displayed as an event for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LimitChange {
+    /// The id of the backend server.
+    pub backend: String,
+    /// The limit before.
+    pub before: Option<RateLimit>,
+    /// The limit from now on.
+    pub after: Option<RateLimit>,
+}
+
+impl fmt::Display for LimitChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let backend = &self.backend;
+        match (self.before, self.after) {
+            (None, Some(limit)) => write!(f, "event=limit_began backend={backend} per_s={limit}"),
+            (Some(before), Some(limit)) => {
+                write!(f, "event=limit_changed backend={backend} per_s={limit} before={before}")
+            }
+            (Some(before), None) => {
+                write!(f, "event=limit_ended backend={backend} before={before}")
+            }
+            (None, None) => write!(f, "event=limit_unchanged backend={backend}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/egret_permits/src/permits.rs
@@ -0,0 +1,345 @@
+//! An entry's side: the permits that it holds and needs.
+
+use std::time::Duration;
+
+use egret_record::{FastMap, RateLimit};
+
+use crate::{KnownLimit, LimitChange, LimitNotice, PermitGrant, PermitWant};
+
+/// Time from the request for a permit until it expires.
+///
+/// The leader's reply takes part of it, so that a permit is never older than this when it is used.
+const LIFETIME: Duration = Duration::from_secs(1);
+/// Shortest time between two requests for permits for one backend server.
+const ASK_PERIOD: Duration = Duration::from_millis(100);
+/// Time after a request that got no reply until the next one.
+const FAILURE_DELAY: Duration = Duration::from_millis(100);
+/// Maximum number of permits that one request asks for.
+const COUNT_MAX: u32 = 16;
+/// Time for which the limit of a backend server that is gone is remembered.
+const RETENTION: Duration = Duration::from_secs(120);
+
+/// The right to send one request to a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Permit {
+    expires: Duration,
+}
+
+impl Permit {
+    /// The right to send a request to a backend server without a limit.
+    pub const UNLIMITED: Self = Self { expires: Duration::MAX };
+
+    /// Returns whether the request may still be sent at `now`.
+    #[must_use]
+    pub fn is_valid(self, now: Duration) -> bool {
+        now < self.expires
+    }
+}
+
+/// The rate limits that an entry knows, and the permits that it holds.
+#[derive(Debug, Default)]
+pub struct Permits {
+    pools: FastMap<String, Pool>,
+    /// The highest term in which a leader has granted permits.
+    term: u64,
+    /// When the leader may be asked again after a failure.
+    retry_at: Duration,
+}
+
+/// The limit of one incarnation of a backend server, and the permits for it.
+#[derive(Debug)]
+struct Pool {
+    incarnation: u64,
+    limit: KnownLimit,
+    /// Whether the leader has confirmed what this entry observed.
+    confirmed: bool,
+    /// The limit in the request that is in flight.
+    asked: Option<(Option<RateLimit>, u32)>,
+    /// The order of the last limit that was announced to all entries.
+    announced: u64,
+    /// Permits that are not used yet, the oldest first.
+    permits: Vec<Permit>,
+    /// Requests since the last one to the leader.
+    demand: u32,
+    /// Whether one of them took the last permit, or found none.
+    missing: bool,
+    /// Permits to return.
+    unused: u32,
+    /// When the leader may be asked for permits again.
+    ask_at: Duration,
+    touched: Duration,
+}
+
+impl Permits {
+    /// Records what a response says about the limit of its backend server.
+    ///
+    /// `sent` is when its request was sent. Returns the change if the limit changed.
+    pub fn observe(
+        &mut self,
+        backend: &str,
+        incarnation: u64,
+        notice: LimitNotice,
+        sent: Duration,
+        received: Duration,
+    ) -> Option<LimitChange> {
+        let begins = matches!(notice, LimitNotice::Limited(_));
+        let pool = self.pool(backend, incarnation, begins, received)?;
+        let before = pool.limit.rate();
+        if !pool.limit.observe(notice, sent, received) {
+            return None;
+        }
+        pool.confirmed = false;
+        pool.apply_change(before, received);
+        Some(change(backend, before, pool.limit.rate()))
+    }
+
+    /// Records the limit of a backend server that the leader announced to all entries.
+    ///
+    /// Announcements about one incarnation are ordered by `order`. Returns the change if the limit
+    /// changed.
+    pub fn announce(
+        &mut self,
+        backend: &str,
+        incarnation: u64,
+        limit: Option<RateLimit>,
+        order: u64,
+        now: Duration,
+    ) -> Option<LimitChange> {
+        let pool = self.pool(backend, incarnation, limit.is_some(), now)?;
+        if order <= pool.announced {
+            return None;
+        }
+        pool.announced = order;
+        // What this entry saw itself may be later; the leader's next reply decides.
+        if !pool.confirmed {
+            return None;
+        }
+        pool.adopt(limit, now).map(|before| change(backend, before, limit))
+    }
+
+    /// Acquires the right to send a request to a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Without a permit, records that one is needed, and returns when the leader may have another.
+    /// `new` tells whether this is the first attempt for its request.
+    pub fn acquire(
+        &mut self,
+        backend: &str,
+        incarnation: u64,
+        new: bool,
+        now: Duration,
+    ) -> Result<Permit, Duration> {
+        let Some(pool) = self.pool(backend, incarnation, false, now) else {
+            return Ok(Permit::UNLIMITED);
+        };
+        if pool.limit.rate().is_none() {
+            return Ok(Permit::UNLIMITED);
+        }
+        pool.expire(now);
+        // Requests that found a permit count as well: as many will need one until the next grant.
+        pool.demand = (pool.demand + u32::from(new)).min(COUNT_MAX);
+        let permit = (!pool.permits.is_empty()).then(|| pool.permits.remove(0));
+        // The next one is fetched ahead, so that a request that comes alone finds a permit.
+        pool.missing |= pool.permits.is_empty();
+        permit.ok_or(pool.ask_at.max(now))
+    }
+
+    /// Takes back a permit that was not used.
+    pub fn release(&mut self, backend: &str, incarnation: u64, permit: Permit, now: Duration) {
+        let pool = self.pools.get_mut(backend).filter(|pool| pool.incarnation == incarnation);
+        if let Some(pool) = pool.filter(|_| permit != Permit::UNLIMITED) {
+            pool.permits.insert(0, permit);
+            pool.demand = pool.demand.saturating_sub(1);
+            pool.missing = false;
+            pool.expire(now);
+        }
+    }
+
+    /// Returns the next request to the leader, if there is something to ask or to report.
+    pub fn request(&mut self, now: Duration) -> Option<Vec<PermitWant>> {
+        if now < self.retry_at {
+            return None;
+        }
+        let wants = self.pools.iter_mut().filter_map(|(backend, pool)| {
+            pool.expire(now);
+            pool.is_due(now).then(|| pool.want(backend, now))
+        });
+        let wants: Vec<PermitWant> = wants.collect();
+        (!wants.is_empty()).then_some(wants)
+    }
+
+    /// Returns when [`request`](Self::request) should be called again, if nothing happens before.
+    #[must_use]
+    pub fn next_request(&self) -> Option<Duration> {
+        let due = self.pools.values().filter_map(Pool::next_due).min()?;
+        Some(due.max(self.retry_at))
+    }
+
+    /// Records the reply of the leader in `term` to a request that was sent at `sent`.
+    ///
+    /// The leader is asked for more permits at the time that it names or up to `spread` later, so
+    /// that not all entries ask at once. Returns the limits that changed.
+    pub fn apply(
+        &mut self,
+        term: u64,
+        grants: &[PermitGrant],
+        sent: Duration,
+        now: Duration,
+        spread: Duration,
+    ) -> Vec<LimitChange> {
+        // The leader of an earlier term may have been frozen while its successor issued permits.
+        if term < self.term {
+            self.fail(now);
+            return Vec::new();
+        }
+        self.term = term;
+        let mut changes = Vec::new();
+        for grant in grants {
+            let pool = self.pools.get_mut(&grant.backend);
+            let Some(pool) = pool.filter(|pool| pool.incarnation == grant.incarnation) else {
+                continue;
+            };
+            let Some((asked, count)) = pool.asked.take() else { continue };
+            if asked == pool.limit.rate() {
+                pool.confirmed = true;
+                if let Some(before) = pool.adopt(grant.limit, now) {
+                    changes.push(change(&grant.backend, before, grant.limit));
+                }
+            }
+            if pool.limit.rate().is_some() {
+                let permit = Permit { expires: sent + LIFETIME };
+                pool.permits.extend((0..grant.count).map(|_| permit));
+            }
+            if grant.count < count {
+                pool.ask_at = pool.ask_at.max(now.saturating_add(grant.wait) + spread);
+            }
+        }
+        changes
+    }
+
+    /// Records that a request got no reply.
+    ///
+    /// Permits that it returned are not returned again, since the leader may have counted them.
+    pub fn fail(&mut self, now: Duration) {
+        self.retry_at = now + FAILURE_DELAY;
+        for pool in self.pools.values_mut() {
+            if let Some((_, count)) = pool.asked.take() {
+                pool.missing |= count > 0;
+            }
+        }
+    }
+
+    /// Forgets backend servers that are not known to the fleet any more.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool, now: Duration) {
+        self.pools.retain(|backend, pool| is_known(backend) || now < pool.touched + RETENTION);
+    }
+
+    /// Returns the pool of an incarnation; a new one if `create` is set, or none.
+    fn pool(
+        &mut self,
+        backend: &str,
+        incarnation: u64,
+        create: bool,
+        now: Duration,
+    ) -> Option<&mut Pool> {
+        let known = self.pools.get(backend).map(|pool| pool.incarnation);
+        if known != Some(incarnation) {
+            if !create || known.is_some_and(|known| known > incarnation) {
+                return None;
+            }
+            self.pools.insert(backend.to_owned(), Pool::new(incarnation, now));
+        }
+        let pool = self.pools.get_mut(backend)?;
+        pool.touched = now;
+        Some(pool)
+    }
+}
+
+impl Pool {
+    fn new(incarnation: u64, now: Duration) -> Self {
+        Self {
+            incarnation,
+            limit: KnownLimit::default(),
+            confirmed: true,
+            asked: None,
+            announced: 0,
+            permits: Vec::new(),
+            demand: 0,
+            missing: false,
+            unused: 0,
+            ask_at: now,
+            touched: now,
+        }
+    }
+
+    /// Takes over the limit that the leader knows; returns the limit before if that differs.
+    fn adopt(&mut self, limit: Option<RateLimit>, now: Duration) -> Option<Option<RateLimit>> {
+        let before = self.limit.rate();
+        if limit == before {
+            return None;
+        }
+        self.limit.update(limit, now);
+        self.apply_change(before, now);
+        Some(before)
+    }
+
+    /// Drops what was granted and asked for at another limit.
+    fn apply_change(&mut self, before: Option<RateLimit>, now: Duration) {
+        if self.limit.rate() < before {
+            self.unused += u32::try_from(self.permits.len()).unwrap_or(u32::MAX);
+            self.permits.clear();
+        }
+        if self.limit.rate().is_none() {
+            (self.missing, self.unused) = (false, 0);
+        }
+        self.ask_at = now;
+    }
+
+    /// Moves permits that have expired to those that are returned.
+    fn expire(&mut self, now: Duration) {
+        let before = self.permits.len();
+        self.permits.retain(|permit| permit.is_valid(now));
+        self.unused += u32::try_from(before - self.permits.len()).unwrap_or(u32::MAX);
+    }
+
+    fn is_due(&self, now: Duration) -> bool {
+        self.asked.is_none() && self.next_due().is_some_and(|due| due <= now)
+    }
+
+    /// Returns when the leader must be asked or told something.
+    fn next_due(&self) -> Option<Duration> {
+        if self.asked.is_some() {
+            return None;
+        }
+        if !self.confirmed || self.unused > 0 {
+            return Some(Duration::ZERO);
+        }
+        let ask_at = Some(self.ask_at).filter(|_| self.missing);
+        let expires = self.permits.first().map(|permit| permit.expires);
+        ask_at.into_iter().chain(expires).min()
+    }
+
+    fn want(&mut self, backend: &str, now: Duration) -> PermitWant {
+        let mut count = 0;
+        if self.missing && now >= self.ask_at {
+            count = std::mem::take(&mut self.demand).max(1);
+            self.missing = false;
+            self.ask_at = now + ASK_PERIOD;
+        }
+        let limit = self.limit.rate();
+        self.asked = Some((limit, count));
+        PermitWant {
+            backend: backend.to_owned(),
+            incarnation: self.incarnation,
+            limit,
+            age: now.saturating_sub(self.limit.as_of()),
+            count,
+            unused: std::mem::take(&mut self.unused),
+        }
+    }
+}
+
+fn change(backend: &str, before: Option<RateLimit>, after: Option<RateLimit>) -> LimitChange {
+    LimitChange { backend: backend.to_owned(), before, after }
+}
--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -14,7 +14,7 @@
 };
 
 use egret_fleet::{Feed, FeedCursor, Fleet, ProcessStatus, StatusUpdate, UpdateKind};
-use egret_record::{FastMap, View, WeightVersion};
+use egret_record::{FastMap, RateLimit, View, WeightVersion};
 use futures::{StreamExt as _, stream::FuturesUnordered};
 use rand::{RngExt as _, seq::SliceRandom as _};
 use tokio::{
@@ -83,6 +83,10 @@
     counts: watch::Sender<UpdateCounts>,
     start: Instant,
     last_contact: Cell<Option<Duration>>,
+    /// Connections for requests to the leader.
+    leader_connections: Connections<control::Client>,
+    /// The instance that is asked next in search of the leader.
+    leader: Cell<Option<SocketAddr>>,
 }
 
 impl Follower {
@@ -91,6 +95,8 @@
     pub fn new(settings: FollowerSettings, status: Option<ProcessStatus>) -> Rc<Self> {
         Rc::new(Self {
             connections: Connections::new(settings.local_ip),
+            leader_connections: Connections::new(settings.local_ip),
+            leader: Cell::new(None),
             settings: RefCell::new(settings),
             members: RefCell::default(),
             view: RefCell::default(),
@@ -155,6 +161,53 @@
         self.settings.borrow_mut().seeds = seeds;
     }
 
+    /// Sends a request to the leader once; returns its reply, or none within `limit`.
+    ///
+    /// Must be awaited within a `LocalSet`. The next call starts at another instance if this one
+    /// finds no leader.
+    pub async fn call_leader(&self, request: &Request, limit: Duration) -> Option<Reply> {
+        /// Instances that are asked in turn, if each names another one as the leader.
+        const HOPS_MAX: usize = 3;
+        let bytes = encode(request);
+        let reply = timeout(limit, async {
+            for _ in 0..HOPS_MAX {
+                let address = self.leader.get().or_else(|| self.random_instance())?;
+                match call_once(&self.leader_connections, address, &bytes).await {
+                    Ok(Ok(reply)) => {
+                        self.leader.set(Some(address));
+                        return Some(reply);
+                    }
+                    Ok(Err(leader)) => {
+                        self.leader.set(leader);
+                        leader?;
+                    }
+                    Err(error) => {
+                        log::debug!("event=leader_unreachable address={address} error=\"{error}\"");
+                        self.leader_connections.remove(address);
+                        self.leader.set(None);
+                        return None;
+                    }
+                }
+            }
+            None
+        });
+        let reply = reply.await;
+        if reply.is_err()
+            && let Some(address) = self.leader.take()
+        {
+            self.leader_connections.remove(address);
+        }
+        reply.ok().flatten()
+    }
+
+    fn random_instance(&self) -> Option<SocketAddr> {
+        let members = self.members.borrow();
+        let settings = self.settings.borrow();
+        let known = if members.is_empty() { &settings.seeds } else { &*members };
+        let index = rand::rng().random_range(0..known.len().max(1));
+        known.get(index).copied()
+    }
+
     /// Receives changes for as long as it is awaited; must be awaited within a `LocalSet`.
     pub async fn run(&self) {
         loop {
@@ -297,6 +350,26 @@
     }
 }
 
+/// Sends an encoded request to a control instance; returns its reply, or the leader that it names.
+async fn call_once(
+    connections: &Connections<control::Client>,
+    address: SocketAddr,
+    request: &[u8],
+) -> capnp::Result<Result<Reply, Option<SocketAddr>>> {
+    let connection =
+        connections.get(address).await.map_err(|error| capnp::Error::failed(error.to_string()))?;
+    let mut call = connection.client().call_request();
+    call.get().set_request(request);
+    let response = call.send().promise.await?;
+    match response.get()?.get_result()?.which()? {
+        schema::call_result::Reply(reply) => match decode(reply?) {
+            Ok(reply) => Ok(Ok(reply)),
+            Err(error) => Err(capnp::Error::failed(error.to_string())),
+        },
+        schema::call_result::NotLeader(leader) => Ok(Err(leader?.to_str()?.parse().ok())),
+    }
+}
+
 /// Sends one watch request to a control instance and returns its reply.
 ///
 /// # Errors
@@ -307,21 +380,12 @@
     address: SocketAddr,
     request: Watch,
 ) -> capnp::Result<WatchReply> {
-    let connection =
-        connections.get(address).await.map_err(|error| capnp::Error::failed(error.to_string()))?;
-    let mut call = connection.client().call_request();
-    call.get().set_request(&encode(&Request::Watch(request)));
-    let response = call.send().promise.await?;
-    let result = response.get()?.get_result()?;
-    let schema::call_result::Reply(reply) = result.which()? else {
-        return Err(capnp::Error::failed("the instance is not part of a cluster yet".to_owned()));
-    };
-    match decode(reply?) {
+    match call_once(connections, address, &encode(&Request::Watch(request))).await? {
         Ok(Reply::Watched(reply)) => Ok(*reply),
         Ok(_) => {
             Err(capnp::Error::failed("unexpected kind of reply to a watch request".to_owned()))
         }
-        Err(error) => Err(capnp::Error::failed(error.to_string())),
+        Err(_) => Err(capnp::Error::failed("the instance is not part of a cluster yet".to_owned())),
     }
 }
 
@@ -355,6 +419,13 @@
                 stamp.seq
             );
         }
+        StatusUpdate::Limit(limit) => log::info!(
+            "event=limit_announced backend={} per_s={:?} born={} seq={}",
+            limit.backend,
+            limit.limit.map(RateLimit::per_second),
+            limit.stamp.incarnation,
+            limit.stamp.seq
+        ),
     }
 }
 
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -12,6 +12,7 @@
 
 use egret_consensus::Membership;
 use egret_fleet::{FeedCursor, FeedDelta, ProcessStatus};
+use egret_permits::{PermitGrant, PermitWant};
 use egret_record::{
     BackendName, BackendRole, CatalogVersion, DataCentre, Delta, EntryName, Fence, IdempotencyKey,
     MemberId, OperationId, Phase, Record, RecordName, Revision, SessionId, StoredRecord,
@@ -78,6 +79,8 @@
     RemoveMember(MemberId),
     /// Long-polls for changes of the view and the fleet; every control instance serves it.
     Watch(Watch),
+    /// Acquires permits for requests to limited backend servers.
+    AcquirePermits(Vec<PermitWant>),
 }
 
 /// A follower's request for changes, with the state that it already has.
@@ -434,4 +437,11 @@
         /// The reason, with the remedy.
         message: String,
     },
+    /// The permits that the leader grants.
+    Permits {
+        /// The leader's term.
+        term: u64,
+        /// A grant for each backend server that was asked about.
+        grants: Vec<PermitGrant>,
+    },
 }
