Forget the limits of backend servers that are gone, and count the permits used

Cause: an announcement that arrives after the departure of its backend server stayed in the fleet for ever (found by reading). Evidence: egret_fleet latest_limit_wins_and_ends_with_its_backend.

--- a/crates/egret_fleet/src/fleet.rs
+++ b/crates/egret_fleet/src/fleet.rs
@@ -85,15 +85,11 @@
                 gone.push(known.status.clone());
             }
         }
-        for update in &gone {
-            if let StatusUpdate::Gone(StatusKey::Backend(id), stamp) = update {
-                self.remove_limit(id, stamp.incarnation);
-            }
-        }
         self.known.retain(|_, known| {
             !matches!(known.status, StatusUpdate::Gone(..))
                 || now < known.last_seen + GONE_RETENTION
         });
+        self.remove_orphaned_limits(now);
         gone
     }
 
@@ -153,6 +149,27 @@
         }
     }
 
+    /// Removes the limits of backend servers that are gone, or stay unknown.
+    fn remove_orphaned_limits(&mut self, now: Duration) {
+        let is_orphaned = |(limit, last_seen): &(&BackendLimit, Duration)| {
+            let backend = self.known.get(&StatusKey::Backend(limit.backend.clone()));
+            match backend.map(|known| &known.status) {
+                Some(StatusUpdate::Backend(_)) => false,
+                Some(_) => true,
+                None => now >= *last_seen + GONE_RETENTION,
+            }
+        };
+        let limits = self.known.values().filter_map(|known| match &known.status {
+            StatusUpdate::Limit(limit) => Some((limit, known.last_seen)),
+            _ => None,
+        });
+        let orphaned: Vec<_> =
+            limits.filter(is_orphaned).map(|(limit, _)| limit.backend.clone()).collect();
+        for backend in orphaned {
+            self.known.remove(&StatusKey::Limit(backend));
+        }
+    }
+
     /// Assigns the address to `backend`, unless a later incarnation with another id has it.
     fn claim_address(&mut self, backend: &BackendStatus, now: Duration) -> bool {
         match self.addresses.get(&backend.address) {
--- a/crates/egret_fleet/tests/status_updates.rs
+++ b/crates/egret_fleet/tests/status_updates.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use egret_fleet::{
-    BackendStatus, Feed, FeedCursor, Fleet, Interest, StatusKey, StatusStamp, StatusUpdate,
-    UpdateKind,
+    BackendLimit, BackendStatus, Feed, FeedCursor, Fleet, Interest, StatusKey, StatusStamp,
+    StatusUpdate, UpdateKind,
 };
-use egret_record::DataCentre;
+use egret_record::{DataCentre, RateLimit};
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -122,3 +122,29 @@
     assert_eq!(feed.delta_since(start, &fleet, Interest::Agents).updates.len(), 1);
     assert_eq!(feed.delta_since(start, &fleet, Interest::All).updates.len(), 185);
 }
+
+fn limit(incarnation: u64, seq: u64, per_second: Option<f64>) -> StatusUpdate {
+    StatusUpdate::Limit(BackendLimit {
+        backend: "a".to_owned(),
+        limit: per_second.and_then(RateLimit::new),
+        stamp: StatusStamp { incarnation, seq },
+    })
+}
+
+// Guards against a limit that comes back after it ended, by a late announcement.
+#[test]
+fn latest_limit_wins_and_ends_with_its_backend() {
+    let mut fleet = Fleet::default();
+    let rate = |fleet: &Fleet| fleet.limits().map(|known| known.limit).collect::<Vec<_>>();
+    fleet.observe(&StatusUpdate::Backend(backend("a", 1, 5, 1)), NOW);
+    assert_eq!(fleet.observe(&limit(5, 2, None), NOW), UpdateKind::Change);
+    assert_eq!(fleet.observe(&limit(5, 1, Some(2.0)), NOW), UpdateKind::Stale);
+    assert_eq!(rate(&fleet), [None], "it has ended");
+    assert_eq!(fleet.observe(&limit(6, 1, Some(3.0)), NOW), UpdateKind::Change);
+    assert_eq!(rate(&fleet), [RateLimit::new(3.0)], "a later incarnation has its own");
+    fleet.observe(&gone("a", 6, u64::MAX), NOW);
+    assert_eq!(rate(&fleet), []);
+    fleet.observe(&limit(6, 2, Some(3.0)), NOW);
+    fleet.expire(Duration::from_secs(15), Duration::from_secs(4), NOW);
+    assert_eq!(rate(&fleet), [], "a late announcement about a backend server that is gone");
+}
--- a/crates/egret_gateway/src/slots.rs
+++ b/crates/egret_gateway/src/slots.rs
@@ -73,11 +73,14 @@
 impl Slot {
     /// Uses the permit for the request; returns whether the request may still be sent at `now`.
     pub(crate) fn use_permit(&self, now: Duration) -> bool {
-        let is_valid = self.permit.get().is_some_and(|permit| permit.is_valid(now));
-        if is_valid {
-            self.permit.set(None);
+        let Some(permit) = self.permit.get().filter(|permit| permit.is_valid(now)) else {
+            return false;
+        };
+        self.permit.set(None);
+        if permit != Permit::UNLIMITED {
+            metrics::counter!("egret_gateway_permits_used_total").increment(1);
         }
-        is_valid
+        true
     }
 }
 
