Spread the requests for permits over time, and back off without a leader

Cause: every entry that got no permit was told when the next one is there, so all of them asked for the same one; and without a leader each asked ten times a second. Change: the leader tells each entry a turn of its own; an entry asks at most every 0.1 s, for all backend servers together, and backs off up to 1.6 s while it gets no reply. It asks for half a second of its recent demand instead of all since the last time, of which much expired unused. Figures: entries_ask_the_leader_about_as_often_as_there_are_permits, 38 entries: under 40 requests a second for two permits a second (each permit was asked for by all before), under 38 without a leader.

--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -330,11 +330,11 @@
             let reply = self.follower.call_leader(&request, REPLY_TIMEOUT).await;
             let now = self.now();
             let mut permits = self.permits.borrow_mut();
+            let spread = SPREAD_MAX.mul_f64(self.random().random());
             let Some(rpc::Reply::Permits { term, grants }) = reply else {
-                permits.fail(now);
+                permits.fail(now, spread);
                 continue;
             };
-            let spread = SPREAD_MAX.mul_f64(self.random().random());
             for change in permits.apply(term, &grants, sent, now, spread) {
                 log::info!("{change} source=leader");
             }
--- a/crates/egret_permits/src/allocator.rs
+++ b/crates/egret_permits/src/allocator.rs
@@ -1,6 +1,6 @@
 //! The leader's side: a token bucket for each limited backend server.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use egret_record::{FastMap, RateLimit};
 
@@ -9,13 +9,19 @@
 /// Time worth of permits that may accumulate while no entry asks.
 const BURST_TIME: Duration = Duration::from_millis(500);
 /// Permits that may accumulate at any rate, so that none is lost between two requests of entries.
-const BURST_MIN: f64 = 2.0;
+const BURST_MIN: f64 = 3.0;
 /// Lowest rate at which permits are issued, in requests per second.
 ///
 /// Only a response to a request can show that a limit of zero has ended.
 const RATE_MIN: f64 = 1.0 / 60.0;
 /// Time after which an entry that asked about an earlier incarnation should ask again.
 const STALE_WAIT: Duration = Duration::from_millis(200);
+/// Longest time that an entry is told to wait for permits of those that asked before.
+const TURN_WAIT_MAX: Duration = Duration::from_secs(2);
+/// Time between two turns, as a share of the time between two permits.
+///
+/// Some entries do not ask at their turn, or return permits; the next ones take theirs.
+const TURN_SHARE: f64 = 0.5;
 /// Time without a request of an entry after which a backend server is forgotten.
 const IDLE_MAX: Duration = Duration::from_secs(600);
 
@@ -34,6 +40,8 @@
     limit: KnownLimit,
     tokens: f64,
     refilled: Duration,
+    /// When the entries that got no permit were told to ask again, the first first.
+    turns: VecDeque<Duration>,
 }
 
 impl Allocator {
@@ -78,7 +86,7 @@
             after: grant.limit,
         });
         match grant.limit {
-            Some(limit) => (grant.count, grant.wait) = bucket.take(want, limit),
+            Some(limit) => (grant.count, grant.wait) = bucket.take(want, limit, now),
             None => grant.wait = Duration::ZERO,
         }
         (grant, change)
@@ -87,7 +95,13 @@
 
 impl Bucket {
     fn new(incarnation: u64, now: Duration) -> Self {
-        Self { incarnation, limit: KnownLimit::default(), tokens: 0.0, refilled: now }
+        Self {
+            incarnation,
+            limit: KnownLimit::default(),
+            tokens: 0.0,
+            refilled: now,
+            turns: VecDeque::new(),
+        }
     }
 
     /// Adds the tokens for the time since the last refill.
@@ -97,8 +111,11 @@
         self.tokens += self.limit.rate().map_or(0.0, rate_of) * elapsed;
     }
 
-    /// Takes tokens for an entry; returns their number and the time until there is another.
-    fn take(&mut self, want: &PermitWant, limit: RateLimit) -> (u32, Duration) {
+    /// Takes tokens for an entry; returns their number and the time until its turn for another.
+    ///
+    /// Each entry that gets less than it wants is told another time, so that not all of them ask for
+    /// the same token.
+    fn take(&mut self, want: &PermitWant, limit: RateLimit, now: Duration) -> (u32, Duration) {
         let rate = rate_of(limit);
         let burst = (rate * BURST_TIME.as_secs_f64()).max(BURST_MIN);
         self.tokens = (self.tokens + f64::from(want.unused)).min(burst);
@@ -106,8 +123,17 @@
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
         let count = want.count.min(self.tokens as u32);
         self.tokens -= f64::from(count);
-        let wait = ((1.0 - self.tokens) / rate).max(0.0);
-        (count, Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
+        if count >= want.count {
+            return (count, Duration::ZERO);
+        }
+        while self.turns.front().is_some_and(|turn| *turn <= now) {
+            self.turns.pop_front();
+        }
+        let next_token = (1.0 - self.tokens).max(0.0) / rate;
+        let turn = (self.turns.len() as f64 * TURN_SHARE / rate).min(TURN_WAIT_MAX.as_secs_f64());
+        let wait = Duration::try_from_secs_f64(next_token + turn).unwrap_or(Duration::MAX);
+        self.turns.push_back(now.saturating_add(wait));
+        (count, wait)
     }
 }
 
--- a/crates/egret_permits/src/message.rs
+++ b/crates/egret_permits/src/message.rs
@@ -14,7 +14,7 @@
     pub incarnation: u64,
     /// Its limit; none if that has ended.
     pub limit: Option<RateLimit>,
-    /// The time since the entry knew this.
+    /// The time since a response to the entry showed this; the maximum if only the leader told it.
     pub age: Duration,
     /// How many permits the entry can use now.
     pub count: u32,
@@ -33,6 +33,6 @@
     pub limit: Option<RateLimit>,
     /// The number of permits granted.
     pub count: u32,
-    /// The time until the leader expects to have another permit.
+    /// The time until the leader expects to have another permit for this entry.
     pub wait: Duration,
 }
--- a/crates/egret_permits/src/permits.rs
+++ b/crates/egret_permits/src/permits.rs
@@ -10,10 +10,14 @@
 ///
 /// The leader's reply takes part of it, so that a permit is never older than this when it is used.
 const LIFETIME: Duration = Duration::from_secs(1);
-/// Shortest time between two requests for permits for one backend server.
+/// Time for whose demand permits are asked; half of their lifetime, so that few expire unused.
+const DEMAND_TIME: Duration = Duration::from_millis(500);
+/// Shortest time between two requests to the leader.
 const ASK_PERIOD: Duration = Duration::from_millis(100);
-/// Time after a request that got no reply until the next one.
+/// Time after a request that got no reply until the next one; doubles with each in a row.
 const FAILURE_DELAY: Duration = Duration::from_millis(100);
+/// Longest time after a request that got no reply until the next one.
+const FAILURE_DELAY_MAX: Duration = Duration::from_millis(1_600);
 /// Maximum number of permits that one request asks for.
 const COUNT_MAX: u32 = 16;
 /// Time for which the limit of a backend server that is gone is remembered.
@@ -42,8 +46,10 @@
     pools: FastMap<String, Pool>,
     /// The highest term in which a leader has granted permits.
     term: u64,
-    /// When the leader may be asked again after a failure.
-    retry_at: Duration,
+    /// When the leader may be asked again.
+    ask_at: Duration,
+    /// Requests in a row that got no reply.
+    failures: u32,
 }
 
 /// The limit of one incarnation of a backend server, and the permits for it.
@@ -59,8 +65,10 @@
     announced: u64,
     /// Permits that are not used yet, the oldest first.
     permits: Vec<Permit>,
-    /// Requests since the last one to the leader.
+    /// Requests of callers since `demand_from`.
     demand: u32,
+    /// When permits were last asked for.
+    demand_from: Duration,
     /// Whether one of them took the last permit, or found none.
     missing: bool,
     /// Permits to return.
@@ -138,7 +146,7 @@
         }
         pool.expire(now);
         // Requests that found a permit count as well: as many will need one until the next grant.
-        pool.demand = (pool.demand + u32::from(new)).min(COUNT_MAX);
+        pool.demand = pool.demand.saturating_add(u32::from(new));
         let permit = (!pool.permits.is_empty()).then(|| pool.permits.remove(0));
         // The next one is fetched ahead, so that a request that comes alone finds a permit.
         pool.missing |= pool.permits.is_empty();
@@ -158,7 +166,7 @@
 
     /// Returns the next request to the leader, if there is something to ask or to report.
     pub fn request(&mut self, now: Duration) -> Option<Vec<PermitWant>> {
-        if now < self.retry_at {
+        if now < self.ask_at {
             return None;
         }
         let wants = self.pools.iter_mut().filter_map(|(backend, pool)| {
@@ -166,14 +174,18 @@
             pool.is_due(now).then(|| pool.want(backend, now))
         });
         let wants: Vec<PermitWant> = wants.collect();
-        (!wants.is_empty()).then_some(wants)
+        if wants.is_empty() {
+            return None;
+        }
+        self.ask_at = now + ASK_PERIOD;
+        Some(wants)
     }
 
     /// Returns when [`request`](Self::request) should be called again, if nothing happens before.
     #[must_use]
     pub fn next_request(&self) -> Option<Duration> {
         let due = self.pools.values().filter_map(Pool::next_due).min()?;
-        Some(due.max(self.retry_at))
+        Some(due.max(self.ask_at))
     }
 
     /// Records the reply of the leader in `term` to a request that was sent at `sent`.
@@ -190,10 +202,11 @@
     ) -> Vec<LimitChange> {
         // The leader of an earlier term may have been frozen while its successor issued permits.
         if term < self.term {
-            self.fail(now);
+            self.fail(now, spread);
             return Vec::new();
         }
         self.term = term;
+        self.failures = 0;
         let mut changes = Vec::new();
         for grant in grants {
             let pool = self.pools.get_mut(&grant.backend);
@@ -218,11 +231,13 @@
         changes
     }
 
-    /// Records that a request got no reply.
+    /// Records that a request got no reply; the next one follows after a back-off and `spread`.
     ///
     /// Permits that it returned are not returned again, since the leader may have counted them.
-    pub fn fail(&mut self, now: Duration) {
-        self.retry_at = now + FAILURE_DELAY;
+    pub fn fail(&mut self, now: Duration, spread: Duration) {
+        let back_off = FAILURE_DELAY * 2_u32.pow(self.failures.min(8));
+        self.failures += 1;
+        self.ask_at = now + back_off.min(FAILURE_DELAY_MAX) + spread;
         for pool in self.pools.values_mut() {
             if let Some((_, count)) = pool.asked.take() {
                 pool.missing |= count > 0;
@@ -266,6 +281,7 @@
             announced: 0,
             permits: Vec::new(),
             demand: 0,
+            demand_from: now,
             missing: false,
             unused: 0,
             ask_at: now,
@@ -320,12 +336,22 @@
         ask_at.into_iter().chain(expires).min()
     }
 
+    /// Returns how many permits the entry can use before they expire, by its recent demand.
+    fn needed(&self, now: Duration) -> u32 {
+        let elapsed = now.saturating_sub(self.demand_from).max(DEMAND_TIME);
+        let needed = f64::from(self.demand) * DEMAND_TIME.as_secs_f64() / elapsed.as_secs_f64();
+        // At most the demand, and not negative.
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+        let needed = needed.ceil() as u32;
+        needed.clamp(1, COUNT_MAX)
+    }
+
     fn want(&mut self, backend: &str, now: Duration) -> PermitWant {
         let mut count = 0;
         if self.missing && now >= self.ask_at {
-            count = std::mem::take(&mut self.demand).max(1);
+            count = self.needed(now);
+            (self.demand, self.demand_from) = (0, now);
             self.missing = false;
-            self.ask_at = now + ASK_PERIOD;
         }
         let limit = self.limit.rate();
         self.asked = Some((limit, count));
--- a/crates/egret_permits/tests/shared_limit.rs
+++ b/crates/egret_permits/tests/shared_limit.rs
@@ -87,6 +87,8 @@
     arrivals: Vec<Duration>,
     /// Requests that another backend server had to take.
     elsewhere: u32,
+    /// Requests of entries to the leader.
+    asked: u32,
 }
 
 impl World {
@@ -106,6 +108,7 @@
             messages: Vec::new(),
             arrivals: Vec::new(),
             elsewhere: 0,
+            asked: 0,
         }
     }
 
@@ -172,7 +175,7 @@
             }
             Message::Failed { entry, life } => {
                 if let Some(entry) = self.receiver(entry, Some(life)) {
-                    entry.permits.fail(now);
+                    entry.permits.fail(now, Duration::ZERO);
                 }
             }
             Message::Announced { entry, incarnation, limit, order } => {
@@ -258,6 +261,7 @@
             }
         }
         let Some(wants) = self.entries[index].permits.request(now) else { return };
+        self.asked += 1;
         let reachable = now >= self.leaderless_until && now >= self.entries[index].cut_until;
         if reachable || self.mode != Mode::Shared {
             let after = self.delay();
@@ -544,6 +548,23 @@
     assert!(entry.acquire(SERVER, 1, true, now).is_err(), "and the grant is not used");
 }
 
+// Guards against a leader that all entries ask for the same permit, or in vain while there is none.
+#[test]
+fn entries_ask_the_leader_about_as_often_as_there_are_permits() {
+    let mut world = World::new(13, 38, 7.0, 2.0);
+    world.run_for(CONTACT_TIME);
+    let before = world.asked;
+    world.run_for(Duration::from_secs(20));
+    let calm = (world.asked - before) as f64 / 20.0;
+    assert!(calm < 40.0, "{calm} requests a second for 2 permits a second");
+    world.leaderless_until = Duration::MAX;
+    world.run_for(Duration::from_secs(3));
+    let before = world.asked;
+    world.run_for(Duration::from_secs(20));
+    let leaderless = (world.asked - before) as f64 / 20.0;
+    assert!(leaderless < 38.0, "{leaderless} requests a second of 38 entries without a leader");
+}
+
 #[test]
 fn limit_of_zero_is_tried_once_a_minute() {
     let mut world = World::new(11, 3, 5.0, 0.0);
