Let the leader's word about a limit not count as an observation

Cause: an entry that took a limit over from the leader dated it by when it did so, and repeated it with its next request. If the limit had changed meanwhile, that set the leader back to the old one, and entries that had seen the new one forward again (found by reading). Change: an entry reports an age only for what responses to itself showed. Evidence: word_of_the_leader_does_not_override_a_later_response.

--- a/crates/egret_permits/src/permits.rs
+++ b/crates/egret_permits/src/permits.rs
@@ -57,6 +57,8 @@
 struct Pool {
     incarnation: u64,
     limit: KnownLimit,
+    /// Whether a response to this entry shows the limit, and not only the leader's word.
+    observed: bool,
     /// Whether the leader has confirmed what this entry observed.
     confirmed: bool,
     /// The limit in the request that is in flight.
@@ -92,10 +94,13 @@
     ) -> Option<LimitChange> {
         let begins = matches!(notice, LimitNotice::Limited(_));
         let pool = self.pool(backend, incarnation, begins, received)?;
-        let before = pool.limit.rate();
-        if !pool.limit.observe(notice, sent, received) {
+        let before = pool.limit;
+        let changed = pool.limit.observe(notice, sent, received);
+        pool.observed |= pool.limit != before;
+        if !changed {
             return None;
         }
+        let before = before.rate();
         pool.confirmed = false;
         pool.apply_change(before, received);
         Some(change(backend, before, pool.limit.rate()))
@@ -276,6 +281,7 @@
         Self {
             incarnation,
             limit: KnownLimit::default(),
+            observed: false,
             confirmed: true,
             asked: None,
             announced: 0,
@@ -296,6 +302,7 @@
             return None;
         }
         self.limit.update(limit, now);
+        self.observed = false;
         self.apply_change(before, now);
         Some(before)
     }
@@ -359,7 +366,7 @@
             backend: backend.to_owned(),
             incarnation: self.incarnation,
             limit,
-            age: now.saturating_sub(self.limit.as_of()),
+            age: if self.observed { now.saturating_sub(self.limit.as_of()) } else { Duration::MAX },
             count,
             unused: std::mem::take(&mut self.unused),
         }
--- a/crates/egret_permits/tests/shared_limit.rs
+++ b/crates/egret_permits/tests/shared_limit.rs
@@ -548,6 +548,24 @@
     assert!(entry.acquire(SERVER, 1, true, now).is_err(), "and the grant is not used");
 }
 
+// Guards against two limits in turn, when an entry repeats what the leader told it before.
+#[test]
+fn word_of_the_leader_does_not_override_a_later_response() {
+    let (mut first, mut second) = (Permits::default(), Permits::default());
+    let mut leader = Allocator::default();
+    let at = |millis: u64| START + Duration::from_millis(millis);
+    let limited = |per_second| LimitNotice::Limited(RateLimit::new(per_second).expect("a rate"));
+    first.observe(SERVER, 1, limited(1.0), at(0), at(0));
+    ask(&mut first, &mut leader, 1, at(0));
+    second.announce(SERVER, 1, RateLimit::new(1.0), 1, at(300));
+    first.observe(SERVER, 1, limited(2.0), at(150), at(200));
+    ask(&mut first, &mut leader, 1, at(350));
+    assert!(second.acquire(SERVER, 1, true, at(400)).is_err());
+    let wants = second.request(at(400)).expect("it needs a permit");
+    let (grant, change) = leader.acquire(&wants[0], at(400));
+    assert_eq!((grant.limit, change), (RateLimit::new(2.0), None));
+}
+
 // Guards against a leader that all entries ask for the same permit, or in vain while there is none.
 #[test]
 fn entries_ask_the_leader_about_as_often_as_there_are_permits() {
