Give the permits of entries and of the leader modules of their own

Change: moved without a change of behaviour to permits.rs and slot.rs of the gateway and permits.rs of control; the count of announcements starts with each term, whose number comes first in their order.

--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -5,8 +5,8 @@
 use egret_consensus::{
     Envelope, Index, LogEntry, Member, Membership, Node, Payload, Role, Snapshot, Term,
 };
-use egret_fleet::{BackendLimit, StatusStamp, StatusUpdate};
-use egret_permits::{Allocator, PermitWant};
+use egret_fleet::StatusUpdate;
+use egret_permits::PermitWant;
 use egret_record::{FastMap, MemberId, Revision, WeightVersion};
 use egret_rpc::{Command, LeaveReason, Reply, SharedFleet, VersionAnnouncement, decode, encode};
 use egret_store::{Journal, StoreError};
@@ -15,7 +15,10 @@
     time::{Instant, sleep_until},
 };
 
-use crate::{leases::Leases, membership_policy::MembershipPolicy, peers::Peers, state::State};
+use crate::{
+    leases::Leases, membership_policy::MembershipPolicy, peers::Peers, permits::Permits,
+    state::State,
+};
 
 /// Limit of inputs that are handled before one sync of the disk for all of them.
 const BATCH_INPUTS_MAX: usize = 512;
@@ -53,9 +56,7 @@
     /// The leases of entries and agents, while this member is the leader.
     pub(crate) leases: Option<Leases>,
     /// The permits for limited backend servers, while this member is the leader.
-    permits: Option<Allocator>,
-    /// Number of limits that this member announced, for their order.
-    announced_limits: u64,
+    permits: Option<Permits>,
     /// Instances that request to join the cluster, by name.
     pub(crate) join_requests: BTreeMap<String, (MemberId, Member)>,
     /// Instances that replied to a hello call, which may not be in the membership yet.
@@ -98,7 +99,6 @@
             state: parts.state,
             leases: None,
             permits: None,
-            announced_limits: 0,
             join_requests: BTreeMap::new(),
             introduced: FastMap::default(),
             fleet: SharedFleet::default(),
@@ -294,7 +294,7 @@
         if self.leases.is_none() {
             log::info!("event=leadership_won term={}", self.node.term().0);
             self.leases = Some(Leases::new(self.lease_duration, now));
-            self.permits = Some(self.restore_permits(now));
+            self.permits = Some(Permits::restore(&self.fleet.fleet, now));
         }
         if !self.node.holds_lease(now) {
             return;
@@ -305,47 +305,16 @@
         self.apply_membership_policy(now);
     }
 
-    /// Returns an allocator of permits with the limits that earlier leaders announced.
-    fn restore_permits(&self, now: Duration) -> Allocator {
-        let mut permits = Allocator::default();
-        for known in self.fleet.fleet.limits() {
-            if let Some(limit) = known.limit {
-                permits.restore(&known.backend, known.stamp.incarnation, limit, now);
-            }
-        }
-        permits
-    }
-
     /// Grants permits to an entry, and announces the limits that it shows to have changed.
     ///
     /// Returns none if this member is not the leader.
     pub(crate) fn acquire_permits(&mut self, wants: &[PermitWant]) -> Option<Reply> {
-        /// Announcements of one term that have an order of their own.
-        const ANNOUNCEMENT_BITS: u32 = 24;
-        let now = self.now();
-        let term = self.node.term().0;
-        let permits = self.permits.as_mut()?;
-        let mut changes = Vec::new();
-        let mut grants = Vec::with_capacity(wants.len());
-        for want in wants {
-            let (grant, change) = permits.acquire(want, now);
-            metrics::counter!("egret_control_permits_total", "outcome" => "granted")
-                .increment(u64::from(grant.count));
-            metrics::counter!("egret_control_permits_total", "outcome" => "returned")
-                .increment(u64::from(want.unused));
-            grants.push(grant);
-            changes.extend(change.map(|change| (want.incarnation, change)));
-        }
-        for (incarnation, change) in changes {
-            self.announced_limits += 1;
-            let seq = (term << ANNOUNCEMENT_BITS) + self.announced_limits;
-            self.observe(&StatusUpdate::Limit(BackendLimit {
-                backend: change.backend,
-                limit: change.after,
-                stamp: StatusStamp { incarnation, seq },
-            }));
+        let (now, term) = (self.now(), self.node.term());
+        let (grants, limits) = self.permits.as_mut()?.acquire(wants, term, now);
+        for limit in limits {
+            self.observe(&StatusUpdate::Limit(limit));
         }
-        Some(Reply::Permits { term, grants })
+        Some(Reply::Permits { term: term.0, grants })
     }
 
     /// Proposes one plan for all backend servers that joined or left recently.
--- a/crates/egret_control/src/lib.rs
+++ b/crates/egret_control/src/lib.rs
@@ -15,6 +15,7 @@
 //! - `bootstrap`: forming a cluster, and joining an existing one.
 //! - `driver`: the control loop, which connects Raft node, disk and state.
 //! - `fleet_exchange`: status updates from the other control instances.
+//! - `permits`: permits for limited backend servers, known only to the leader.
 //! - `peers`: connections for Raft messages to the other members.
 //! - `server`: the RPC interface to other processes.
 //! - `local_control`: access to the control state from within the process.
@@ -29,6 +30,7 @@
 mod local_control;
 mod membership_policy;
 mod peers;
+mod permits;
 mod program;
 mod queries;
 mod rollout;
--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     BackendHead, backend::Connection, exchange::Job, gateway::Gateway, protocol::AttemptHead,
-    slots::Slot,
+    slot::Slot,
 };
 
 /// Time for which a backend server gets no requests after it refused one because it was full.
--- a/crates/egret_gateway/src/body_reader.rs
+++ b/crates/egret_gateway/src/body_reader.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::time::timeout;
 
-use crate::{ResponseAborted, backend::Connection, gateway::Gateway, slots::Slot};
+use crate::{ResponseAborted, backend::Connection, gateway::Gateway, slot::Slot};
 
 /// Responses up to this size are buffered before they are forwarded, in bytes.
 ///
--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -18,7 +18,8 @@
     gateway::Gateway,
     protocol::CallerHead,
     relay::Relay,
-    slots::{Slot, SlotRequest, draw_service},
+    slot::Slot,
+    slots::{SlotRequest, draw_service},
 };
 
 /// Timeout for the head of a response, after which another backend server is tried.
--- a/crates/egret_gateway/src/lib.rs
+++ b/crates/egret_gateway/src/lib.rs
@@ -17,6 +17,8 @@
 //! - `protocol`: how requests and responses are encoded in HTTP heads.
 //! - `tables`: routes, API keys and weight versions, as last received from the control state.
 //! - `backend`: one backend server, with its connections and its circuit breaker.
+//! - `permits`: rate limits that backend servers name, kept by all entries together.
+//! - `slot`: the right to one request at a backend server.
 //! - `slots`: load balancing and the queue for slots at backend servers.
 //! - `attempt`: one attempt at one backend server.
 //! - `events`: the framing of event streams.
@@ -33,9 +35,11 @@
 mod events;
 mod exchange;
 mod gateway;
+mod permits;
 mod protocol;
 mod relay;
 mod serve;
+mod slot;
 mod slots;
 mod tables;
 
--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -17,7 +17,7 @@
     events::{EVENT_BYTES_MAX, EventReader},
     exchange::Job,
     gateway::Gateway,
-    slots::Slot,
+    slot::Slot,
 };
 
 /// A backend server counts as silent after this many times the gap objective of the route.
--- a/crates/egret_gateway/src/slots.rs
+++ b/crates/egret_gateway/src/slots.rs
@@ -6,7 +6,6 @@
     time::Duration,
 };
 
-use egret_permits::{Permit, Permits};
 use egret_record::{FastMap, FastSet, Route, ServiceSpec, WeightVersion};
 use egret_route::{
     AdaptiveLimit, BackendLoad, Code, ColdRateLimit, Distance, Refusal, WaitQueue, Waiter,
@@ -17,7 +16,7 @@
     time::timeout,
 };
 
-use crate::{backend::Backend, gateway::Gateway};
+use crate::{backend::Backend, gateway::Gateway, slot::Slot};
 
 /// Concurrent requests that all entries together send, as a multiple of the engine's batch.
 const ENGINE_HEADROOM: f64 = 1.1;
@@ -52,55 +51,6 @@
     pub(crate) wait_until: Duration,
 }
 
-/// The right to one request at a backend server, released when dropped.
-#[derive(Debug)]
-pub(crate) struct Slot {
-    pub(crate) backend: Rc<Backend>,
-    /// The only weight version that may answer, if others no longer may.
-    pub(crate) version: Option<WeightVersion>,
-    /// When its weight version may no longer start responses, if that is soon.
-    pub(crate) expires: Option<Duration>,
-    /// Whether the request probes a backend server whose circuit breaker is open.
-    probe: bool,
-    /// The permit to send the request; none once it is sent.
-    permit: Cell<Option<Permit>>,
-    permits: Rc<RefCell<Permits>>,
-    /// When the slot was acquired.
-    acquired: Duration,
-    freed: Rc<Notify>,
-}
-
-impl Slot {
-    /// Uses the permit for the request; returns whether the request may still be sent at `now`.
-    pub(crate) fn use_permit(&self, now: Duration) -> bool {
-        let Some(permit) = self.permit.get().filter(|permit| permit.is_valid(now)) else {
-            return false;
-        };
-        self.permit.set(None);
-        if permit != Permit::UNLIMITED {
-            metrics::counter!("egret_gateway_permits_used_total").increment(1);
-        }
-        true
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        if let Some(permit) = self.permit.take() {
-            let status = self.backend.status.borrow();
-            let incarnation = status.stamp.incarnation;
-            self.permits.borrow_mut().release(&status.id, incarnation, permit, self.acquired);
-        }
-        let in_flight = &self.backend.in_flight;
-        in_flight.set(in_flight.get().saturating_sub(1));
-        if self.probe {
-            // A cancelled request shows nothing, so another one must be able to probe.
-            self.backend.breaker.borrow_mut().cancel_probe();
-        }
-        self.freed.notify_one();
-    }
-}
-
 /// The queue of requests for slots, over all services.
 #[derive(Debug, Default)]
 pub(crate) struct SlotQueue {
