Let entries that only heard of a limit not override a restored one

Cause: a new leader dated the limits of its predecessor as if nothing were known, so the word of an entry that had never seen the limit itself replaced them (found by reading). Turns that were given at another rate stayed as well and delayed those at the new one. Change: a restored limit is later than any hearsay and earlier than any response; turns end with a limit. Evidence: word_of_an_earlier_leader_does_not_override_a_restored_limit failed before (1 a second instead of 2).

--- a/crates/egret_permits/src/allocator.rs
+++ b/crates/egret_permits/src/allocator.rs
@@ -16,6 +16,8 @@
 const RATE_MIN: f64 = 1.0 / 60.0;
 /// Time after which an entry that asked about an earlier incarnation should ask again.
 const STALE_WAIT: Duration = Duration::from_millis(200);
+/// The time of a limit that a previous leader knew.
+const RESTORED: Duration = Duration::from_nanos(1);
 /// Longest time that an entry is told to wait for permits of those that asked before.
 const TURN_WAIT_MAX: Duration = Duration::from_secs(2);
 /// Time between two turns, as a share of the time between two permits.
@@ -48,7 +50,8 @@
     /// Adds a limit that a previous leader knew.
     pub fn restore(&mut self, backend: &str, incarnation: u64, limit: RateLimit, now: Duration) {
         let mut bucket = Bucket::new(incarnation, now);
-        bucket.limit.update(Some(limit), Duration::ZERO);
+        // Whatever a response shows is later, and what entries were told is not.
+        bucket.limit.update(Some(limit), RESTORED);
         self.buckets.insert(backend.to_owned(), bucket);
     }
 
@@ -85,6 +88,9 @@
             before,
             after: grant.limit,
         });
+        if change.is_some() {
+            bucket.turns.clear();
+        }
         match grant.limit {
             Some(limit) => (grant.count, grant.wait) = bucket.take(want, limit, now),
             None => grant.wait = Duration::ZERO,
--- a/crates/egret_permits/tests/shared_limit.rs
+++ b/crates/egret_permits/tests/shared_limit.rs
@@ -569,6 +569,17 @@
     assert_eq!((grant.limit, change), (RateLimit::new(2.0), None));
 }
 
+// Guards against a new leader that takes the word of its predecessor from an entry for an observation.
+#[test]
+fn word_of_an_earlier_leader_does_not_override_a_restored_limit() {
+    let (mut entry, mut leader) = (Permits::default(), Allocator::default());
+    entry.announce(SERVER, 1, RateLimit::new(1.0), 1, START);
+    assert!(entry.acquire(SERVER, 1, true, START).is_err());
+    leader.restore(SERVER, 1, RateLimit::new(2.0).expect("a rate"), START);
+    let wants = entry.request(START).expect("it needs a permit");
+    assert_eq!(leader.acquire(&wants[0], START).0.limit, RateLimit::new(2.0));
+}
+
 // Guards against a leader that all entries ask for the same permit, or in vain while there is none.
 #[test]
 fn entries_ask_the_leader_about_as_often_as_there_are_permits() {
