Announce only the begin and the end of a limit

Cause: each other rate was announced to all entries at once. A backend server may name another one with each response; with many of them every entry would get an update many times a second (found by reading). Change: entries learn of another rate with their next permits, without which they send nothing.

--- a/crates/egret_control/src/permits.rs
+++ b/crates/egret_control/src/permits.rs
@@ -4,7 +4,7 @@
 
 use egret_consensus::Term;
 use egret_fleet::{BackendLimit, Fleet, StatusStamp};
-use egret_permits::{Allocator, PermitGrant, PermitWant};
+use egret_permits::{Allocator, LimitChange, PermitGrant, PermitWant};
 
 /// Announcements of one term that have an order of their own.
 const ANNOUNCEMENT_BITS: u32 = 24;
@@ -45,7 +45,7 @@
             metrics::counter!("egret_control_permits_total", "outcome" => "returned")
                 .increment(u64::from(want.unused));
             grants.push(grant);
-            let Some(change) = change else { continue };
+            let Some(change) = change.filter(LimitChange::is_announced) else { continue };
             self.announced += 1;
             let seq = (term.0 << ANNOUNCEMENT_BITS) + self.announced;
             let stamp = StatusStamp { incarnation: want.incarnation, seq };
--- a/crates/egret_permits/src/limit.rs
+++ b/crates/egret_permits/src/limit.rs
@@ -88,6 +88,17 @@
     pub after: Option<RateLimit>,
 }
 
+impl LimitChange {
+    /// Returns whether the leader must announce it to all entries.
+    ///
+    /// Entries learn of another rate with their next permits, and a backend server may name another
+    /// one in each response.
+    #[must_use]
+    pub const fn is_announced(&self) -> bool {
+        self.before.is_some() != self.after.is_some()
+    }
+}
+
 impl fmt::Display for LimitChange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let backend = &self.backend;
--- a/crates/egret_permits/tests/shared_limit.rs
+++ b/crates/egret_permits/tests/shared_limit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use egret_permits::{Allocator, LimitNotice, PermitGrant, PermitWant, Permits};
+use egret_permits::{Allocator, LimitChange, LimitNotice, PermitGrant, PermitWant, Permits};
 use egret_record::RateLimit;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 
@@ -226,7 +226,8 @@
                 grant.limit = want.limit;
             }
             grants.push(grant);
-            if let Some(change) = change.filter(|_| self.mode == Mode::Shared) {
+            let change = change.filter(|_| self.mode == Mode::Shared);
+            if let Some(change) = change.filter(LimitChange::is_announced) {
                 self.fleet = Some((want.incarnation, change.after));
                 self.announced += 1;
                 self.announce(want.incarnation, change.after);
@@ -580,6 +581,20 @@
     assert_eq!(leader.acquire(&wants[0], START).0.limit, RateLimit::new(2.0));
 }
 
+// Guards against announcements with each response of a server that names another rate each time.
+#[test]
+fn only_the_begin_and_the_end_of_a_limit_are_announced() {
+    let mut world = World::new(17, 9, 7.0, 3.0);
+    for step in 0..20 {
+        world.run_for(Duration::from_millis(500));
+        world.limit = RateLimit::new(3.0 + f64::from(step) / 10.0);
+    }
+    assert_eq!(world.announced, 1, "it began");
+    world.limit = None;
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(world.announced, 2, "it ended");
+}
+
 // Guards against a leader that all entries ask for the same permit, or in vain while there is none.
 #[test]
 fn entries_ask_the_leader_about_as_often_as_there_are_permits() {
