--- a/crates/egret_permits/src/allocator.rs
+++ b/crates/egret_permits/src/allocator.rs
@@ -42,7 +42,7 @@
     limit: KnownLimit,
     tokens: f64,
     refilled: Duration,
-    /// When the entries that got no permit were told to ask again, the first first.
+    /// When entries that got no permit were told to ask again, the earliest first.
     turns: VecDeque<Duration>,
 }
 
@@ -50,7 +50,7 @@
     /// Adds a limit that a previous leader knew.
     pub fn restore(&mut self, backend: &str, incarnation: u64, limit: RateLimit, now: Duration) {
         let mut bucket = Bucket::new(incarnation, now);
-        // Whatever a response shows is later, and what entries were told is not.
+        // Any response is later; entries that were only told of a limit report no time.
         bucket.limit.update(Some(limit), RESTORED);
         self.buckets.insert(backend.to_owned(), bucket);
     }
--- a/crates/egret_permits/src/message.rs
+++ b/crates/egret_permits/src/message.rs
@@ -14,7 +14,7 @@
     pub incarnation: u64,
     /// Its limit; none if that has ended.
     pub limit: Option<RateLimit>,
-    /// The time since a response to the entry showed this; the maximum if only the leader told it.
+    /// The time since a response showed this; the maximum if the entry has it from the leader.
     pub age: Duration,
     /// How many permits the entry can use now.
     pub count: u32,
