Log the shared parts of the prompt of each broken attempt

The logs of the incident cannot tell whether requests under which servers end have something in common: they name the request and the server, and nothing of its content. The entry now decodes the parts of a prompt (all but the last, which belongs to the request itself) and names them with each attempt that brought no response and each stream that broke. Nothing acts on them.

--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use egret_fleet::START_DELAY_MAX;
+use egret_record::PartList;
 use egret_route::Failure;
 use http::response;
 use hyper::body::Incoming;
@@ -60,10 +61,12 @@
     let id = backend.status.borrow().id.clone();
     let outcome = |what: &str, detail: &dyn std::fmt::Display| {
         log::info!(
-            "event=attempt request={} backend={id} outcome={what} after_ms={} left_ms={} {detail}",
+            "event=attempt request={} backend={id} outcome={what} after_ms={} left_ms={} parts={} \
+             {detail}",
             job.call.id,
             (gateway.now() - started).as_millis(),
-            left.as_millis()
+            left.as_millis(),
+            PartList(&job.call.parts)
         );
     };
     let fresh = !job.route.kind.is_repeatable() || slot.expires.is_some();
--- a/crates/egret_gateway/src/protocol.rs
+++ b/crates/egret_gateway/src/protocol.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use egret_permits::LimitNotice;
-use egret_record::WeightVersion;
+use egret_record::{PartId, WeightVersion};
 use egret_route::Refusal;
 use http::{Request, Response, request, response};
 use http_body_util::Full;
@@ -26,6 +26,8 @@
     pub resume_after: Option<u64>,
     /// The requested model.
     pub model: Option<String>,
+    /// The parts of its prompt that other requests may share, each once.
+    pub parts: Vec<PartId>,
 }
 
 /// A request head that is malformed.
--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use egret_record::RouteKind;
+use egret_record::{PartList, RouteKind};
 use egret_route::Failure;
 use futures::{Stream, stream};
 use http_body_util::BodyExt as _;
@@ -235,10 +235,12 @@
     async fn recover(&mut self, broken: Break) -> bool {
         let id = self.slot.backend.status.borrow().id.clone();
         log::info!(
-            "event=stream_broken request={} backend={id} how={broken:?} last_event={:?} left_ms={}",
+            "event=stream_broken request={} backend={id} how={broken:?} last_event={:?} left_ms={} \
+             parts={}",
             self.job.call.id,
             self.job.last_event,
-            self.job.deadline.saturating_sub(self.gateway.now()).as_millis()
+            self.job.deadline.saturating_sub(self.gateway.now()).as_millis(),
+            PartList(&self.job.call.parts)
         );
         if broken != Break::Silent {
             self.connection = None;
--- a/crates/egret_record/src/lib.rs
+++ b/crates/egret_record/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `catalog`: routes, services and organisations, declared in one document.
 //! - `name`: identifiers, as a distinct type for each kind.
 //! - `digest`: content digests.
+//! - `part`: parts of prompts.
 //! - `rate`: request rates.
 //! - `record`: a record in its normalized form, independent of its schema.
 //! - `schema`: the two record schemas that operators write.
@@ -29,6 +30,7 @@
 mod catalog;
 mod digest;
 mod name;
+mod part;
 mod persistent;
 mod rate;
 mod record;
@@ -44,6 +46,7 @@
     BackendName, CatalogVersion, DataCentre, EntryName, Fence, IdempotencyKey, MemberId, NameError,
     OperationId, Organisation, RecordName, Revision, SessionId, WeightVersion,
 };
+pub use part::{PartId, PartList};
 pub use rate::RateLimit;
 pub use record::{
     CallRule, ModelTarget, Objective, Placement, Priority, Record, ServiceTarget, Target, Weight,
