Take a stream that ends with its connection before any event as broken off

The users' pages have bodies with neither a length nor chunks, which end with their connection. A server that ends closes its connections as well. Such a stream without a single event passed as whole; now it is resumed elsewhere or breaks off. unframed_responses.rs: whole streams and answers, streams that end inside an event, resets. Only the case without any event is new in the code; the others held before (they passed on the code without this change).

--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -220,6 +220,8 @@
             }
             Ok(Some(Err(_))) => Err(Break::Cut),
             Ok(None) if self.reader.is_partial() => Err(Break::Cut),
+            // Without an event, nothing shows that it is more than the end of the server.
+            Ok(None) if !self.is_framed && self.began.is_none() => Err(Break::Cut),
             Ok(None) => {
                 self.ended = true;
                 // The end of the connection may also be that of a crashed server.
