Send the trial of a blocked part with the request that claims it, and ask a new leader nothing

A new leader now announces its suspects at once, and entries tell it everything again when they see a later term. - The leader counted all crashes with each Raft message; now ten times a second, and only while something is suspected. - With all servers down, a rare part that was in flight at each crash as well kept the bad one from being blocked for 8 s; both are blocked then, and the trial after 5 s releases the sound one.

--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -300,7 +300,7 @@
             log::info!("event=leadership_won term={}", self.node.term().0);
             self.leases = Some(Leases::new(self.lease_duration, now));
             self.permits = Some(Permits::restore(&self.fleet.fleet, now));
-            self.quarantine = Some(Quarantine::new(&self.fleet.fleet));
+            self.quarantine = Some(Quarantine::new());
         }
         if !self.node.holds_lease(now) {
             return;
--- a/crates/egret_control/src/quarantine.rs
+++ b/crates/egret_control/src/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use egret_consensus::Term;
-use egret_fleet::{Fleet, StatusStamp, SuspectedParts};
+use egret_fleet::{StatusStamp, SuspectedParts};
 use egret_quarantine::{Decision, Detector, PartsReport};
 use egret_record::{BlockedPart, PartId};
 use egret_rpc::Command;
@@ -22,14 +22,12 @@
     detector: Detector,
     /// Number of announcements, for their order.
     announced: u64,
-    /// Whether an earlier leader's suspects are to be withdrawn.
-    outdated: bool,
+    decide_at: Duration,
 }
 
 impl Quarantine {
-    pub(crate) fn new(fleet: &Fleet) -> Self {
-        let outdated = !fleet.suspects().is_empty();
-        Self { detector: Detector::default(), announced: 0, outdated }
+    pub(crate) fn new() -> Self {
+        Self { detector: Detector::default(), announced: 0, decide_at: Duration::ZERO }
     }
 
     pub(crate) fn observe(&mut self, report: &PartsReport, now: Duration) {
@@ -43,8 +41,15 @@
         term: Term,
         now: Duration,
     ) -> Actions {
+        /// Interval of decisions, which look at all crashes that are remembered.
+        const DECIDE_PERIOD: Duration = Duration::from_millis(100);
         let mut actions = Actions::default();
-        let mut announcement = std::mem::take(&mut self.outdated).then(Vec::new);
+        if now < self.decide_at {
+            return actions;
+        }
+        self.decide_at = now + DECIDE_PERIOD;
+        // Entries tell a new leader what they have seen when it announces its first suspects, if none.
+        let mut announcement = (self.announced == 0).then(Vec::new);
         for decision in self.detector.decide(blocked, now) {
             match decision {
                 Decision::Announce(parts) => announcement = Some(parts),
--- a/crates/egret_fleet/src/fleet.rs
+++ b/crates/egret_fleet/src/fleet.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use egret_record::{FastMap, PartId};
+use egret_record::FastMap;
 
 use crate::status::{
     BackendLimit, BackendStatus, ProcessKind, ProcessStatus, StatusKey, StatusStamp, StatusUpdate,
+    SuspectedParts,
 };
 
 /// How long a departure is remembered, so that late reports do not undo it.
@@ -129,12 +130,12 @@
         })
     }
 
-    /// Returns the parts of prompts that may crash backend servers.
+    /// Returns the parts of prompts that may crash backend servers, as last announced.
     #[must_use]
-    pub fn suspects(&self) -> &[PartId] {
+    pub fn suspects(&self) -> Option<&SuspectedParts> {
         match self.known.get(&StatusKey::SuspectedParts).map(|known| &known.status) {
-            Some(StatusUpdate::Suspects(suspects)) => &suspects.parts,
-            _ => &[],
+            Some(StatusUpdate::Suspects(suspects)) => Some(suspects),
+            _ => None,
         }
     }
 
--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use egret_record::{FastSet, OrganisationSpec, Route, RouteKind, WeightVersion};
+use egret_record::{FastSet, OrganisationSpec, PartId, Route, RouteKind, WeightVersion};
 use egret_route::{Code, Failure, Refusal};
 use http::{Request, Response, request};
 use http_body_util::{BodyExt as _, Limited};
@@ -64,6 +64,8 @@
     pub(crate) runs: u32,
     /// Number of attempts that broke as if they had crashed their backend server.
     pub(crate) breaks: Cell<u32>,
+    /// The blocked part whose trial it is.
+    pub(crate) trial: Cell<Option<PartId>>,
     /// The last event that was forwarded.
     pub(crate) last_event: Option<u64>,
     /// The weight version that started the response; no other may continue it.
@@ -153,6 +155,7 @@
             avoid: FastSet::default(),
             runs: 0,
             breaks: Cell::default(),
+            trial: Cell::default(),
             last_event: None,
             weights: None,
         })
@@ -245,7 +248,7 @@
 
     /// Waits for a slot at a backend server.
     pub(crate) async fn acquire_slot(&self, job: &Job) -> Result<Slot, Refusal> {
-        self.check_parts(job)?;
+        self.check_parts(job).await?;
         let now = self.now();
         let left = job.deadline.saturating_sub(now);
         if left < ATTEMPT_TIME_MIN {
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -144,7 +144,6 @@
             () = self.run_permits() => {}
             () = self.run_part_reports() => {}
             () = self.run_end_probes() => {}
-            () = self.run_trials() => {}
         }
     }
 
--- a/crates/egret_gateway/src/parts.rs
+++ b/crates/egret_gateway/src/parts.rs
@@ -31,17 +31,8 @@
     /// Backend servers of which it is to be found out whether they have ended.
     unprobed: RefCell<Vec<Rc<Backend>>>,
     probe_needed: Notify,
-    trials: RefCell<FastMap<PartId, Trial>>,
-    trial_needed: Notify,
-}
-
-/// The right to send one request with a blocked part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Trial {
-    /// To be claimed, since a caller has a request for it.
-    Wanted,
-    /// Claimed, valid until this time.
-    Claimed(Duration),
+    /// When this entry last claimed the trial of a blocked part.
+    claims: RefCell<FastMap<PartId, Duration>>,
 }
 
 /// Whether a request may be sent, by the parts of its prompt.
@@ -50,7 +41,11 @@
     Free,
     /// As the trial of a blocked part.
     Trial(PartId),
-    Blocked(PartId),
+    Blocked {
+        part: PartId,
+        /// Whether its trial is open, and no other part is blocked.
+        trial_open: bool,
+    },
 }
 
 impl Gateway {
@@ -100,28 +95,26 @@
         if tables.blocked.is_empty() {
             return Admission::Free;
         }
-        let mut blocked = job.call.parts.iter().filter(|part| tables.blocked.contains_key(*part));
-        let Some(part) = blocked.next() else { return Admission::Free };
-        let now = self.now();
-        let trial = self.parts.trials.borrow().get(part).copied();
-        match trial {
-            Some(Trial::Claimed(until)) if now < until && blocked.next().is_none() => {
-                Admission::Trial(*part)
-            }
-            _ => Admission::Blocked(*part),
+        let parts = job.call.parts.iter();
+        let mut blocked = parts.filter_map(|part| Some((*part, tables.blocked.get(part)?)));
+        let Some((part, block)) = blocked.next() else { return Admission::Free };
+        let is_only = blocked.next().is_none();
+        if is_only && job.trial.get() == Some(part) {
+            return Admission::Trial(part);
         }
+        Admission::Blocked { part, trial_open: is_only && block.trial_open }
     }
 
-    /// Checks that no part of a prompt is blocked.
+    /// Checks that no part of a prompt is blocked, or that the request may be the trial of it.
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] that says "not run" if one is.
-    pub(crate) fn check_parts(&self, job: &Job) -> Result<(), Refusal> {
-        let Admission::Blocked(part) = self.admission(job) else { return Ok(()) };
-        if self.tables().blocked.get(&part).is_some_and(|block| block.trial_open) {
-            self.parts.trials.borrow_mut().entry(part).or_insert(Trial::Wanted);
-            self.parts.trial_needed.notify_one();
+    /// Returns a [`Refusal`] that says "not run" otherwise.
+    pub(crate) async fn check_parts(&self, job: &Job) -> Result<(), Refusal> {
+        let Admission::Blocked { part, trial_open } = self.admission(job) else { return Ok(()) };
+        if trial_open && self.claim_trial(part).await {
+            job.trial.set(Some(part));
+            return Ok(());
         }
         metrics::counter!("egret_gateway_part_blocked_total").increment(1);
         let message = format!(
@@ -131,16 +124,29 @@
         Err(self.with_retry_after(refusal, BLOCKED_RETRY_DELAY_MS))
     }
 
+    /// Claims the trial of a blocked part, which one entry at most gets.
+    async fn claim_trial(&self, part: PartId) -> bool {
+        let now = self.now();
+        let claimed = self.parts.claims.borrow().get(&part).copied();
+        if claimed.is_some_and(|claimed| now < claimed + REPLY_TIMEOUT) {
+            return false;
+        }
+        self.parts.claims.borrow_mut().insert(part, now);
+        let request = Request::from(Command::ClaimTrial(part));
+        let reply = self.follower.call_leader(&request, REPLY_TIMEOUT).await;
+        matches!(reply, Some(Reply::Accepted { .. }))
+    }
+
     /// Returns whether a request may be sent now; uses up the trial that allows it.
     pub(crate) fn use_admission(&self, job: &Job) -> bool {
         match self.admission(job) {
             Admission::Free => true,
             Admission::Trial(part) => {
                 log::info!("event=part_tried part={part} request={}", job.call.id);
-                self.parts.trials.borrow_mut().remove(&part);
+                job.trial.set(None);
                 true
             }
-            Admission::Blocked(_) => false,
+            Admission::Blocked { .. } => false,
         }
     }
 
@@ -160,9 +166,11 @@
             log::info!("event=part_released part={part}");
             witness.forget(*part);
         }
-        self.parts.trials.borrow_mut().retain(|part, _| blocked.contains_key(part));
-        let watched: Vec<_> = fleet.suspects().iter().chain(blocked.keys()).copied().collect();
-        witness.watch(&watched);
+        self.parts.claims.borrow_mut().retain(|part, _| blocked.contains_key(part));
+        let suspects = fleet.suspects();
+        let parts = suspects.map(|suspects| suspects.parts.as_slice()).unwrap_or_default();
+        let watched: Vec<_> = parts.iter().chain(blocked.keys()).copied().collect();
+        witness.watch(&watched, suspects.map_or(0, |suspects| suspects.stamp.incarnation));
         self.parts.report_needed.notify_one();
     }
 
@@ -211,29 +219,6 @@
             }
         }
     }
-
-    /// Claims trials of blocked parts that callers have requests for; runs until dropped.
-    pub(crate) async fn run_trials(&self) {
-        /// Time for which a claimed trial is kept for the next request.
-        const TRIAL_TIME: Duration = Duration::from_secs(10);
-        loop {
-            self.parts.trial_needed.notified().await;
-            let wanted = {
-                let trials = self.parts.trials.borrow();
-                let wanted = trials.iter().filter(|(_, trial)| **trial == Trial::Wanted);
-                wanted.map(|(part, _)| *part).collect::<Vec<_>>()
-            };
-            for part in wanted {
-                let request = Request::from(Command::ClaimTrial(part));
-                let reply = self.follower.call_leader(&request, REPLY_TIMEOUT).await;
-                let mut trials = self.parts.trials.borrow_mut();
-                trials.remove(&part);
-                if let Some(Reply::Accepted { .. }) = reply {
-                    trials.insert(part, Trial::Claimed(self.now() + TRIAL_TIME));
-                }
-            }
-        }
-    }
 }
 
 /// Returns whether no process listens at an address any more; none if it does not answer.
--- a/crates/egret_quarantine/src/detector.rs
+++ b/crates/egret_quarantine/src/detector.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, fmt, time::Duration};
 
-use egret_record::{BlockedPart, FastMap, PartId, PartList};
+use egret_record::{BlockedPart, FastMap, FastSet, PartId, PartList};
 use imbl::OrdMap;
 
 use crate::{AnswerReport, CrashReport, PartsReport, clears::Clears};
@@ -15,6 +15,8 @@
     answer_time: Duration::from_secs(1),
     silence_time: Duration::from_secs(2),
 };
+/// What is needed to block several such parts that are as suspect.
+const TIED: Threshold = Threshold { crashes: 5, spells: 3, percent: 50, ..CLEAR };
 /// What is needed to block other parts.
 const UNCLEAR: Threshold = Threshold {
     crashes: 5,
@@ -44,7 +46,7 @@
 /// Number of crashes that are remembered.
 const CRASHES_MAX: usize = 64;
 /// Number of parts that are remembered of one crash.
-const PARTS_MAX: usize = 4_096;
+const PARTS_MAX: usize = 2_048;
 /// Number of suspected parts that are announced.
 const SUSPECTS_MAX: usize = 512;
 /// Times from a block, and from each trial, until the next trial; after these there is none.
@@ -121,6 +123,8 @@
     suspects: FastMap<PartId, Suspect>,
     announced: Vec<PartId>,
     answers: AnswerSpell,
+    /// Whether crashes or answers were reported since the last decision.
+    is_changed: bool,
     blocks: FastMap<PartId, Block>,
     /// When a decision about a part was last made, until it takes effect.
     decided: FastMap<PartId, Duration>,
@@ -132,7 +136,7 @@
     backend: String,
     incarnation: u64,
     at: Duration,
-    parts: Vec<PartId>,
+    parts: FastSet<PartId>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -206,6 +210,7 @@
 impl Detector {
     /// Records the report of an entry.
     pub fn observe(&mut self, report: &PartsReport, now: Duration) {
+        self.is_changed = true;
         for crash in &report.crashes {
             self.observe_crash(crash, now);
         }
@@ -234,15 +239,15 @@
                 backend: report.backend.clone(),
                 incarnation: report.incarnation,
                 at,
-                parts: Vec::new(),
+                parts: FastSet::default(),
             },
         };
         for part in &report.parts {
             // A crash with too many parts keeps those that were in flight at others as well.
             let has_room = crash.parts.len() < PARTS_MAX
                 || (crash.parts.len() < 2 * PARTS_MAX && self.is_in_crash(*part));
-            if has_room && !crash.parts.contains(part) {
-                crash.parts.push(*part);
+            if has_room {
+                crash.parts.insert(*part);
             }
         }
         let index = self.crashes.partition_point(|other| other.at <= crash.at);
@@ -274,6 +279,9 @@
         self.crashes.retain(|crash| now < crash.at + CRASH_RETENTION);
         self.update_blocks(blocked, now);
         let mut decisions = self.review_blocks(blocked, now);
+        if !std::mem::take(&mut self.is_changed) && self.suspects.is_empty() {
+            return decisions;
+        }
         let tallies = self.tally();
         self.update_suspects(&tallies, now);
         decisions.extend(self.announcement());
@@ -409,17 +417,21 @@
             self.answered.get(*part).is_none() && tally.crashes * 2 >= most
         };
         let unanswered = candidates.iter().copied().filter(|(part, tally)| is_new(part, tally));
-        let (alike, doubtful) = match most_suspect(unanswered, tallies)[..] {
-            [part] if self.is_reached(&CLEAR, part, tallies, now) => (vec![part], false),
-            _ => (most_suspect(candidates.into_iter(), tallies), true),
+        let all_reach = |parts: &[PartId], thresholds: &[Threshold]| {
+            let reaches = |part: &PartId| {
+                thresholds.iter().any(|threshold| self.is_reached(threshold, *part, tallies, now))
+            };
+            parts.iter().all(reaches)
         };
-        let is_reached = |part: &PartId| {
-            let mut thresholds = [UNCLEAR, STRONG].iter();
-            thresholds.any(|threshold| self.is_reached(threshold, *part, tallies, now))
+        let unanswered = most_suspect(unanswered, tallies);
+        let (alike, doubtful) = if unanswered.len() == 1 && all_reach(&unanswered, &[CLEAR]) {
+            (unanswered, false)
+        } else if !unanswered.is_empty() && all_reach(&unanswered, &[TIED]) {
+            (unanswered, true)
+        } else {
+            let alike = most_suspect(candidates.into_iter(), tallies);
+            (if all_reach(&alike, &[UNCLEAR, STRONG]) { alike } else { Vec::new() }, true)
         };
-        if doubtful && !alike.iter().all(is_reached) {
-            return Vec::new();
-        }
         let decisions = alike.into_iter().map(|part| {
             self.decided.insert(part, now);
             let crashes = self.crashes.iter().filter(|crash| crash.parts.contains(&part));
--- a/crates/egret_quarantine/src/lib.rs
+++ b/crates/egret_quarantine/src/lib.rs
@@ -41,7 +41,7 @@
 //!         }
 //!         for decision in leader.decide(&blocked, now) {
 //!             match decision {
-//!                 Decision::Announce(suspects) => entry.watch(&suspects),
+//!                 Decision::Announce(suspects) => entry.watch(&suspects, 1),
 //!                 Decision::Block { part, doubtful, .. } => {
 //!                     let since = Revision(1);
 //!                     let block = BlockedPart { since, trials: 0, doubtful, trial_open: false };
--- a/crates/egret_quarantine/src/witness.rs
+++ b/crates/egret_quarantine/src/witness.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use egret_record::{FastMap, PartId};
+use egret_record::{FastMap, FastSet, PartId};
 
 use crate::{AnswerReport, CrashReport, PartsReport, clears::Clears};
 
@@ -13,10 +13,6 @@
 const REPORT_PERIOD: Duration = Duration::from_millis(100);
 /// Shortest time between two reports that the same part was answered.
 const ANSWER_PERIOD: Duration = Duration::from_millis(250);
-/// Time after a crash for which the leader is asked whether it is still the same.
-const CONTACT_TIME: Duration = Duration::from_secs(60);
-/// Time between such questions.
-const CONTACT_PERIOD: Duration = Duration::from_secs(1);
 /// Time after a report that got no reply until the next one; doubles with each in a row.
 const FAILURE_DELAY: Duration = Duration::from_millis(100);
 /// Longest time after a report that got no reply until the next one.
@@ -40,13 +36,11 @@
     crashes: VecDeque<Crash>,
     /// Suspected and blocked parts, with the last answer that was reported and when.
     watched: FastMap<PartId, Reported>,
-    /// The highest term in which a leader has replied.
+    /// The highest term of a leader that has replied or announced suspects.
     term: u64,
     /// Whether a report is in flight.
     asked: bool,
     report_at: Duration,
-    /// When the leader last replied.
-    replied: Duration,
     /// Reports in a row that got no reply.
     failures: u32,
 }
@@ -62,7 +56,7 @@
     backend: String,
     incarnation: u64,
     at: Duration,
-    parts: Vec<PartId>,
+    parts: FastSet<PartId>,
     /// Whether the leader has yet to be told.
     unsent: bool,
 }
@@ -72,14 +66,11 @@
         self.incarnation == incarnation && self.backend == backend
     }
 
-    /// Adds the parts of one request; `watched` ones find room first.
+    /// Adds the parts of one request; `watched` ones always find room.
     fn add(&mut self, parts: &[PartId], watched: &FastMap<PartId, Reported>) {
-        let (first, rest): (Vec<PartId>, Vec<PartId>) =
-            parts.iter().partition(|part| watched.contains_key(part));
-        for part in first.into_iter().chain(rest) {
-            let full = self.parts.len() >= PARTS_MAX && !watched.contains_key(&part);
-            if !full && !self.parts.contains(&part) {
-                self.parts.push(part);
+        for part in parts {
+            if self.parts.len() < PARTS_MAX || watched.contains_key(part) {
+                self.parts.insert(*part);
             }
         }
     }
@@ -112,7 +103,7 @@
                 backend: backend.to_owned(),
                 incarnation,
                 at: now,
-                parts: Vec::new(),
+                parts: FastSet::default(),
                 unsent: true,
             });
             self.broken.len() - 1
@@ -155,8 +146,9 @@
         self.crashes.retain(|crash| !crash.parts.contains(&part));
     }
 
-    /// Replaces the parts whose answers the leader must be told of.
-    pub fn watch(&mut self, parts: &[PartId]) {
+    /// Replaces the parts whose answers the leader of `term` must be told of.
+    pub fn watch(&mut self, parts: &[PartId], term: u64) {
+        self.follow(term);
         let known = std::mem::take(&mut self.watched);
         let reported = |part: &PartId| known.get(part).copied().unwrap_or_default();
         self.watched = parts.iter().map(|part| (*part, reported(part))).collect();
@@ -174,7 +166,7 @@
                 backend: crash.backend.clone(),
                 incarnation: crash.incarnation,
                 age: now.saturating_sub(crash.at),
-                parts: crash.parts.clone(),
+                parts: crash.parts.iter().copied().collect(),
             }
         });
         let crashes: Vec<_> = crashes.collect();
@@ -206,15 +198,10 @@
             let at = self.answered.get(*part)?;
             reported.answered.is_none_or(|was| was < at).then_some(reported.at + ANSWER_PERIOD)
         });
-        let last = self.crashes.back().map(|crash| crash.at + CONTACT_TIME);
-        let contact = Some(self.replied + CONTACT_PERIOD);
-        let contact = contact.filter(|contact| last.is_some_and(|last| *contact < last));
-        answers.chain(contact).min().map(|next| next.max(self.report_at))
+        answers.min().map(|next| next.max(self.report_at))
     }
 
     /// Records the reply of the leader in `term` to the last report.
-    ///
-    /// A new leader is told everything again.
     pub fn apply(&mut self, term: u64, now: Duration) {
         if term < self.term {
             self.fail(now);
@@ -222,11 +209,7 @@
         }
         self.asked = false;
         self.failures = 0;
-        self.replied = now;
-        if term > self.term {
-            self.term = term;
-            self.send_again();
-        }
+        self.follow(term);
     }
 
     /// Records that the last report got no reply.
@@ -238,6 +221,14 @@
         self.send_again();
     }
 
+    /// Tells a new leader everything again.
+    fn follow(&mut self, term: u64) {
+        if term > self.term {
+            self.term = term;
+            self.send_again();
+        }
+    }
+
     fn send_again(&mut self) {
         self.crashes.iter_mut().for_each(|crash| crash.unsent = true);
         self.watched.values_mut().for_each(|reported| *reported = Reported::default());
--- a/crates/egret_quarantine/tests/bad_parts.rs
+++ b/crates/egret_quarantine/tests/bad_parts.rs
@@ -54,8 +54,16 @@
                 world.run_for(seconds(if per_second < 1.0 { 60 } else { 25 }));
                 let what = format!("{entries} entries, {per_second} a second, seed {seed}");
                 assert_blocked_in_time(&world, &what);
-                assert_no_sound_part_blocked(&world, &what);
                 assert!(world.blocked.contains_key(&BAD), "{what}: not blocked");
+                // With all three servers down, no answer can tell a part that was never answered
+                // from the bad one; its trial does.
+                if servers == 3 && per_second >= 10.0 {
+                    assert_eq!(world.blocked.len(), 1, "{what}: sound parts are released");
+                    let refused = f64::from(world.sound_refused) / f64::from(world.sound_sent);
+                    assert!(refused < 0.05, "{what}: {refused:.3} of the sound requests refused");
+                } else {
+                    assert_no_sound_part_blocked(&world, &what);
+                }
             }
         }
     }
@@ -240,11 +248,10 @@
     assert_eq!(world.reports, 0, "without a crash nothing is reported");
     world.kill_server();
     world.run_for(seconds(30));
-    assert!(world.reports <= 9 * 31, "{} reports in 30 s after one crash", world.reports);
-    world.run_for(seconds(60));
+    assert!(world.reports <= 9 * 4 * 5, "{} reports after one crash", world.reports);
     let before = world.reports;
-    world.run_for(seconds(30));
-    assert_eq!(world.reports, before, "a minute later there is nothing to report");
+    world.run_for(seconds(60));
+    assert_eq!(world.reports, before, "later there is nothing to report");
 }
 
 #[test]
--- a/crates/egret_quarantine/tests/common/mod.rs
+++ b/crates/egret_quarantine/tests/common/mod.rs
@@ -100,7 +100,7 @@
     Answer { parts: Vec<PartId>, at: Duration },
     Recorded { term: u64 },
     Failed,
-    Suspects { parts: Vec<PartId> },
+    Suspects { parts: Vec<PartId>, term: u64 },
     State,
     Resend { request: Request },
 }
@@ -112,11 +112,11 @@
     Commit { term: u64, change: Change },
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum Change {
     Block { part: PartId, doubtful: bool },
     OpenTrial { part: PartId, trials: u32 },
-    ClaimTrial { part: PartId, entry: usize, life: u32 },
+    ClaimTrial { part: PartId, entry: usize, life: u32, request: Request },
     Release(PartId),
 }
 
@@ -150,6 +150,8 @@
     decide_at: Duration,
     pub(crate) blocked: OrdMap<PartId, BlockedPart>,
     suspects: Vec<PartId>,
+    /// The term of the leader that announced them.
+    announced_term: u64,
     cargo: Vec<(Duration, Cargo)>,
     /// Crashes under each bad part.
     pub(crate) crashes: BTreeMap<PartId, Vec<Duration>>,
@@ -194,6 +196,7 @@
             decide_at: START,
             blocked: OrdMap::new(),
             suspects: Vec::new(),
+            announced_term: 0,
             cargo: Vec::new(),
             crashes: BTreeMap::new(),
             arrivals: BTreeMap::new(),
@@ -236,6 +239,7 @@
 
     pub(crate) fn restart_entry(&mut self, index: usize) {
         let (now, blocked, suspects) = (self.now, self.blocked.clone(), self.suspects.clone());
+        let term = self.announced_term;
         let entry = &mut self.entries[index];
         entry.life += 1;
         entry.witness = Witness::default();
@@ -244,7 +248,7 @@
         entry.in_touch_from = entry.in_touch_from.max(now + CONTACT_TIME);
         if self.mode == Mode::Shared {
             entry.blocked = blocked;
-            entry.watch(&suspects);
+            entry.watch(&suspects, term);
         } else {
             entry.blocked.clear();
         }
@@ -361,15 +365,15 @@
             }
             Message::Recorded { term } => entry.witness.apply(term, now),
             Message::Failed => entry.witness.fail(now),
-            Message::Suspects { parts } => {
+            Message::Suspects { parts, term } => {
                 if now >= entry.cut_until {
-                    entry.watch(&parts);
+                    entry.watch(&parts, term);
                 }
             }
             Message::State => {
                 if now >= entry.cut_until {
                     entry.blocked = self.blocked.clone();
-                    entry.watch(&self.suspects);
+                    entry.watch(&self.suspects, self.announced_term);
                 }
             }
             Message::Resend { request } => self.send(index, request),
@@ -414,8 +418,9 @@
             } else {
                 if entry.blocked[&part].trial_open && now >= entry.cut_until {
                     let (term, life) = (self.term, entry.life);
-                    let change = Change::ClaimTrial { part, entry: index, life };
+                    let change = Change::ClaimTrial { part, entry: index, life, request };
                     self.post(Duration::from_millis(30), Cargo::Commit { term, change });
+                    return;
                 }
                 self.sound_refused += u32::from(!request.is_bad && request.attempts == 0);
                 return;
@@ -536,11 +541,13 @@
             Mode::Alone => (0..self.entries.len()).for_each(|entry| self.decide_alone(entry)),
             Mode::Shared if now < self.leaderless_until => {}
             Mode::Shared => {
+                if self.announced_term < self.term {
+                    self.announce(&[]);
+                }
                 for decision in self.leader.decide(&self.blocked, now) {
                     let (term, delay) = (self.term, self.delay(20..60));
                     let change = match decision {
                         Decision::Announce(parts) => {
-                            self.suspects.clone_from(&parts);
                             self.announce(&parts);
                             continue;
                         }
@@ -560,7 +567,7 @@
         let decisions = entry.alone.decide(&entry.blocked, now);
         for decision in decisions {
             match decision {
-                Decision::Announce(parts) => entry.watch(&parts),
+                Decision::Announce(parts) => entry.watch(&parts, 1),
                 Decision::Block { part, .. } => {
                     entry.blocked.insert(part, block(0, false));
                     self.blocks.push((now, part));
@@ -574,9 +581,11 @@
     }
 
     fn announce(&mut self, parts: &[PartId]) {
+        self.suspects = parts.to_vec();
+        self.announced_term = self.term;
         for entry in 0..self.entries.len() {
             let delay = self.delay(10..80);
-            let message = Message::Suspects { parts: parts.to_vec() };
+            let message = Message::Suspects { parts: parts.to_vec(), term: self.term };
             self.post_entry(entry, None, delay, message);
         }
     }
@@ -596,12 +605,13 @@
                     known.trial_open = true;
                 }
             }
-            Change::ClaimTrial { part, entry, life } => {
+            Change::ClaimTrial { part, entry, life, request } => {
                 let open = self.blocked.get_mut(&part).filter(|known| known.trial_open);
                 if let Some(known) = open {
                     *known = block(known.trials + 1, known.doubtful);
                     if self.entries[entry].life == life {
                         self.entries[entry].claimed = Some(part);
+                        self.send(entry, request);
                     }
                 }
             }
@@ -619,9 +629,9 @@
 }
 
 impl Entry {
-    fn watch(&mut self, suspects: &[PartId]) {
+    fn watch(&mut self, suspects: &[PartId], term: u64) {
         let watched: Vec<_> = suspects.iter().chain(self.blocked.keys()).copied().collect();
-        self.witness.watch(&watched);
+        self.witness.watch(&watched, term);
     }
 }
 
