--- a/crates/egretctl/src/command.rs
+++ b/crates/egretctl/src/command.rs
@@ -89,6 +89,26 @@
                         .help("Timeout in seconds"),
                 ),
         )
+        .subcommand(
+            Command::new("part")
+                .about("Shows and releases the parts of prompts that are blocked")
+                .subcommand_required(true)
+                .arg(
+                    Arg::new("control")
+                        .long("control")
+                        .value_name("ADDRESS")
+                        .required(true)
+                        .action(ArgAction::Append)
+                        .value_parser(value_parser!(SocketAddr))
+                        .help("Address at which control instances reach each other; give several to try them"),
+                )
+                .subcommand(Command::new("list").about("Lists the blocked parts"))
+                .subcommand(
+                    Command::new("release")
+                        .about("Releases a blocked part")
+                        .arg(Arg::new("part").required(true).help("Its id, as the list and the logs show it")),
+                ),
+        )
         .subcommand(
             Command::new("data-centre")
                 .about("Takes a data centre out of service or puts it back in")
--- a/crates/egretctl/src/main.rs
+++ b/crates/egretctl/src/main.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod failure;
 mod local;
+mod part;
 mod remote;
 
 use std::process::ExitCode;
@@ -43,6 +44,7 @@
         "validate" => local::validate(matches),
         "manifest" => local::manifest(matches),
         "explain" => explain::explain(matches),
+        "part" => part::run(matches),
         _ => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.expect("the runtime starts");
