Count answers that end with their connection, once their server is known to live on

Found by reading: an answer without length or chunks that is written in less than a second counted neither as answered nor as broken. Where all servers answer so, a sound part of short answers would never have been seen answered, and three crashes for other reasons would have blocked it for 30 s. Such an answer now counts after 300 ms in which its server broke no other answer; if it did and has ended, the parts of the answer may have crashed it.

--- a/crates/egret_control/src/state.rs
+++ b/crates/egret_control/src/state.rs
@@ -52,7 +52,7 @@
 const WITH_PARTS: u8 = 0xff;
 
 /// A snapshot as programs wrote it that could not block parts of prompts.
-#[derive(Serialize, Deserialize)]
+#[derive(Deserialize)]
 struct StateWithoutParts {
     view: ViewWithoutParts,
     sessions: BTreeMap<SessionId, SessionHolder>,
--- a/crates/egret_control/tests/quarantine.rs
+++ b/crates/egret_control/tests/quarantine.rs
@@ -1,8 +1,8 @@
 //! Blocked parts of prompts in the replicated state.
 
 use egret_control::State;
-use egret_record::{PartId, View};
-use egret_rpc::{Command, Reply};
+use egret_record::{DataCentre, OperationId, PartId, View, WeightVersion};
+use egret_rpc::{Command, Operation, Reply, encode};
 
 const PART: PartId = PartId(0xbad);
 
@@ -70,3 +70,27 @@
     assert_eq!(blocked.len(), 1_024);
     assert!(blocked.contains_key(&PartId(4_999)) && !blocked.contains_key(&PartId(0)));
 }
+
+// Guards against a control instance that forgets everything when its program is upgraded.
+#[test]
+fn snapshot_of_a_program_without_blocks_is_read() {
+    let mut state = State::default();
+    state.apply(Command::NameWeights { model: "drafts".to_owned(), version: WeightVersion(3) });
+    state.apply(Command::Amend {
+        id: OperationId::new("first").expect("a valid id"),
+        expected: None,
+        operation: Operation::SetDataCentre {
+            name: DataCentre::new("xela").expect("a valid name"),
+            out: true,
+        },
+    });
+    // Such a snapshot has no marker, and no blocked parts at the end of the view.
+    let (view, snapshot) = (encode(state.view()), state.snapshot());
+    let rest = snapshot[1..].strip_prefix(view.as_slice()).expect("the view comes first");
+    let old = [&view[..view.len() - 1], rest].concat();
+    let mut restored = State::restore(&old).expect("an old snapshot");
+    assert_eq!(restored.view(), state.view());
+    block(&mut restored, PART);
+    let restored = State::restore(&restored.snapshot()).expect("a new snapshot");
+    assert!(restored.view().blocked.contains_key(&PART));
+}
--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -385,8 +385,13 @@
         } else {
             slot.backend.breaker.borrow_mut().record_success();
         }
-        if head.status.is_success() && is_framed {
-            self.record_answer(job, self.now());
+        if head.status.is_success() {
+            let now = self.now();
+            if is_framed {
+                self.record_answer(job, now);
+            } else {
+                self.record_close(&slot.backend, job, now);
+            }
         }
         slot.backend.recycle(connection, meta.keep_alive, self.now());
         Ok(Response::from_parts(head, ResponseBody::whole(body)))
--- a/crates/egret_gateway/src/parts.rs
+++ b/crates/egret_gateway/src/parts.rs
@@ -89,6 +89,20 @@
         }
     }
 
+    /// Records that an answer ended with its connection, which began at `began`.
+    pub(crate) fn record_close(&self, backend: &Backend, job: &Job, began: Duration) {
+        let now = self.now();
+        if now >= began + SURVIVAL_TIME {
+            self.record_answer(job, began);
+        } else if !job.call.parts.is_empty() {
+            let status = backend.status.borrow();
+            let incarnation = status.stamp.incarnation;
+            let mut witness = self.parts.witness.borrow_mut();
+            witness.record_close(&status.id, incarnation, &job.call.parts, now);
+            self.parts.report_needed.notify_one();
+        }
+    }
+
     /// Returns whether a request may be sent, by the parts of its prompt.
     fn admission(&self, job: &Job) -> Admission {
         let tables = self.tables();
--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -224,9 +224,12 @@
             Ok(None) if !self.is_framed && self.began.is_none() => Err(Break::Cut),
             Ok(None) => {
                 self.ended = true;
-                // The end of the connection may also be that of a crashed server.
-                if self.is_framed && self.began.is_some() {
-                    self.record_answer(now);
+                match self.began {
+                    Some(_) if self.is_framed => self.record_answer(now),
+                    Some(began) if !self.answer_recorded => {
+                        self.gateway.record_close(&self.slot.backend, &self.job, began);
+                    }
+                    _ => {}
                 }
                 if let Some(connection) = self.connection.take() {
                     self.slot.backend.recycle(connection, self.keep_alive, now);
--- a/crates/egret_quarantine/src/witness.rs
+++ b/crates/egret_quarantine/src/witness.rs
@@ -21,6 +21,10 @@
 const BREAK_RETENTION: Duration = Duration::from_secs(10);
 /// Time for which crashes are kept for a new leader.
 const CRASH_RETENTION: Duration = Duration::from_secs(600);
+/// Time after which a server has not ended with the answer that ended with its connection.
+const CLOSE_TIME: Duration = Duration::from_millis(300);
+/// Number of answers that ended with their connections of which this is not known yet.
+const CLOSES_MAX: usize = 256;
 /// Number of crashes that are kept.
 const CRASHES_MAX: usize = 64;
 /// Number of parts that are kept of one crash.
@@ -30,6 +34,8 @@
 #[derive(Debug, Default)]
 pub struct Witness {
     answered: Clears,
+    /// Answers that ended with their connections, as a crash may end them too.
+    closes: VecDeque<Close>,
     /// Servers at which answers broke and that have not ended as far as is known.
     broken: VecDeque<Crash>,
     /// Servers that have ended, the latest last.
@@ -61,6 +67,14 @@
     unsent: bool,
 }
 
+#[derive(Debug)]
+struct Close {
+    backend: String,
+    incarnation: u64,
+    at: Duration,
+    parts: Vec<PartId>,
+}
+
 impl Crash {
     fn is_of(&self, backend: &str, incarnation: u64) -> bool {
         self.incarnation == incarnation && self.backend == backend
@@ -115,7 +129,14 @@
     /// Records that a backend server has ended; returns whether there is something to report.
     pub fn record_end(&mut self, backend: &str, incarnation: u64, now: Duration) -> bool {
         let index = self.broken.iter().position(|crash| crash.is_of(backend, incarnation));
-        let Some(crash) = index.and_then(|index| self.broken.remove(index)) else { return false };
+        let Some(mut crash) = index.and_then(|index| self.broken.remove(index)) else {
+            return false;
+        };
+        for close in &self.closes {
+            if crash.is_of(&close.backend, close.incarnation) && crash.at <= close.at + CLOSE_TIME {
+                crash.add(&close.parts, &self.watched);
+            }
+        }
         self.crashes.retain(|crash| now < crash.at + CRASH_RETENTION);
         if self.crashes.len() >= CRASHES_MAX {
             self.crashes.pop_front();
@@ -146,6 +167,35 @@
         self.crashes.retain(|crash| !crash.parts.contains(&part));
     }
 
+    /// Records that an answer ended with its connection, before [`SURVIVAL_TIME`].
+    ///
+    /// It counts as answered unless its server turns out to have broken other answers as well.
+    pub fn record_close(
+        &mut self,
+        backend: &str,
+        incarnation: u64,
+        parts: &[PartId],
+        now: Duration,
+    ) {
+        self.settle_closes(now);
+        if self.closes.len() >= CLOSES_MAX {
+            self.closes.pop_front();
+        }
+        let (backend, parts) = (backend.to_owned(), parts.to_vec());
+        self.closes.push_back(Close { backend, incarnation, at: now, parts });
+    }
+
+    fn settle_closes(&mut self, now: Duration) {
+        while let Some(close) = self.closes.pop_front_if(|close| now >= close.at + CLOSE_TIME) {
+            let crashes = self.broken.iter().chain(&self.crashes);
+            let mut crashes =
+                crashes.filter(|crash| crash.is_of(&close.backend, close.incarnation));
+            if !crashes.any(|crash| crash.at <= close.at + CLOSE_TIME) {
+                self.record_answer(&close.parts, close.at);
+            }
+        }
+    }
+
     /// Replaces the parts whose answers the leader of `term` must be told of.
     pub fn watch(&mut self, parts: &[PartId], term: u64) {
         self.follow(term);
@@ -159,6 +209,7 @@
         if self.next_report().is_none_or(|next| now < next) {
             return None;
         }
+        self.settle_closes(now);
         let unsent = self.crashes.iter_mut().filter(|crash| crash.unsent);
         let crashes = unsent.map(|crash| {
             crash.unsent = false;
@@ -180,6 +231,9 @@
             })
         });
         let answers: Vec<_> = answers.collect();
+        if crashes.is_empty() && answers.is_empty() {
+            return None;
+        }
         self.asked = true;
         self.report_at = now + REPORT_PERIOD;
         Some(PartsReport { crashes, answers })
@@ -198,7 +252,9 @@
             let at = self.answered.get(*part)?;
             reported.answered.is_none_or(|was| was < at).then_some(reported.at + ANSWER_PERIOD)
         });
-        answers.min().map(|next| next.max(self.report_at))
+        let closed = self.closes.front().map(|close| close.at + CLOSE_TIME);
+        let closed = closed.filter(|_| !self.watched.is_empty());
+        answers.chain(closed).min().map(|next| next.max(self.report_at))
     }
 
     /// Records the reply of the leader in `term` to the last report.
@@ -223,9 +279,13 @@
 
     /// Tells a new leader everything again.
     fn follow(&mut self, term: u64) {
+        // Nothing was told to a leader before the first one.
+        let is_first = self.term == 0;
         if term > self.term {
             self.term = term;
-            self.send_again();
+            if !is_first {
+                self.send_again();
+            }
         }
     }
 
--- a/crates/egret_record/src/view.rs
+++ b/crates/egret_record/src/view.rs
@@ -220,7 +220,7 @@
 }
 
 /// A view as programs wrote it that could not block parts of prompts.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, Deserialize)]
 pub struct ViewWithoutParts {
     revision: Revision,
     #[serde(deserialize_with = "crate::persistent::map")]
