--- a/crates/egret_control/src/quarantine.rs
+++ b/crates/egret_control/src/quarantine.rs
@@ -48,7 +48,7 @@
             return actions;
         }
         self.decide_at = now + DECIDE_PERIOD;
-        // Entries tell a new leader what they have seen when it announces its first suspects, if none.
+        // Entries tell a new leader what they have seen once it announces suspects, even none.
         let mut announcement = (self.announced == 0).then(Vec::new);
         for decision in self.detector.decide(blocked, now) {
             match decision {
