--- a/crates/egretctl/src/api.rs
+++ b/crates/egretctl/src/api.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Creates a change that must not be taken for applied or not when its answer is lost.
+    pub(crate) fn once(method: Method, path: impl Into<String>, body: String) -> Self {
+        Self { method, body, ..Self::get(path) }
+    }
+
     /// Creates a change with an operation id, so that it can safely be sent again to another entry.
     pub(crate) fn change(
         method: Method,
@@ -64,6 +69,13 @@
     }
 }
 
+impl AdminRequest {
+    /// Returns whether sending it again has the outcome of the first time.
+    fn is_repeatable(&self) -> bool {
+        self.method == Method::GET || self.operation.is_some()
+    }
+}
+
 impl AdminClient {
     pub(crate) fn new(access: Access) -> Self {
         Self { access, client: HttpClient::unpooled(None) }
@@ -80,6 +92,11 @@
         for entry in &self.access.entries {
             match self.send_to(*entry, request).await {
                 Ok(value) => return Ok(value),
+                // Without an operation id, the refusal may be of what an earlier entry has applied.
+                Err(SendFailure::Final(failure)) if maybe_applied && !request.is_repeatable() => {
+                    last = format!("{entry}: {failure}");
+                    break;
+                }
                 Err(SendFailure::Final(failure)) => return Err(failure),
                 Err(SendFailure::TryNext { message, maybe_sent }) => {
                     last = format!("{entry}: {message}");
@@ -87,12 +104,17 @@
                 }
             }
         }
-        match &request.operation {
-            Some(operation) if maybe_applied => {
-                Err(Failure::Unknown { message: last, operation: operation.clone() })
-            }
-            _ => Err(Failure::Refused { message: format!("no entry replied; last error: {last}") }),
+        if !maybe_applied || request.method == Method::GET {
+            let message = format!("no entry replied; last error: {last}");
+            return Err(Failure::Refused { message });
         }
+        let remedy = match &request.operation {
+            Some(operation) => format!("run the command again with --operation {operation}"),
+            None => {
+                "look with `egretctl status` whether it was applied, then run it again".to_owned()
+            }
+        };
+        Err(Failure::Unknown { message: last, remedy })
     }
 
     /// Sends a request to every entry and returns the replies that arrive.
--- a/crates/egretctl/src/failure.rs
+++ b/crates/egretctl/src/failure.rs
@@ -26,8 +26,11 @@
     Refused { message: String },
     /// The change may or may not have been applied.
     #[error("outcome unknown: {message}")]
-    #[diagnostic(help("run the command again with --operation {}", operation))]
-    Unknown { message: String, operation: String },
+    Unknown {
+        message: String,
+        #[help]
+        remedy: String,
+    },
 }
 
 impl Failure {
--- a/crates/egretctl/src/remote.rs
+++ b/crates/egretctl/src/remote.rs
@@ -85,8 +85,8 @@
     let Some((action, matches)) = matches.subcommand() else {
         return Err(Failure::usage_text("no action is given", "give `add` or `remove`"));
     };
-    let mut request = AdminRequest::change(Method::POST, "/admin/v1/members", None);
-    request.body = json!({ action: text(matches, "member") }).to_string();
+    let body = json!({ action: text(matches, "member") }).to_string();
+    let request = AdminRequest::once(Method::POST, "/admin/v1/members", body);
     Ok(accepted(&client.send(&request).await?))
 }
 
