Take only a missing record for one when egretctl compares

egretctl diff took every refusal, such as a wrong key, for a record that does not exist, and printed the whole file as new.

--- a/crates/egretctl/src/api.rs
+++ b/crates/egretctl/src/api.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use egret_http::{HttpClient, SendError, headers, read_whole};
-use http::{Method, Request, header::AUTHORIZATION};
+use http::{Method, Request, StatusCode, header::AUTHORIZATION};
 use http_body_util::Full;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -170,7 +170,10 @@
         if unknown || status.is_server_error() {
             return Err(SendFailure::TryNext { message, maybe_sent: unknown });
         }
-        Err(SendFailure::Final(Failure::Refused { message }))
+        Err(SendFailure::Final(match status {
+            StatusCode::NOT_FOUND => Failure::NotFound { message },
+            _ => Failure::Refused { message },
+        }))
     }
 
     fn http_request(
--- a/crates/egretctl/src/failure.rs
+++ b/crates/egretctl/src/failure.rs
@@ -24,6 +24,10 @@
     #[error("refused: {message}")]
     #[diagnostic(help("nothing was changed"))]
     Refused { message: String },
+    /// What the request is about does not exist.
+    #[error("not found: {message}")]
+    #[diagnostic(help("nothing was changed"))]
+    NotFound { message: String },
     /// The change may or may not have been applied.
     #[error("outcome unknown: {message}")]
     Unknown {
@@ -45,7 +49,7 @@
 
     pub(crate) fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Self::Refused { .. } => 1,
+            Self::Refused { .. } | Self::NotFound { .. } => 1,
             Self::Document(_) | Self::Usage { .. } => 2,
             Self::Unknown { .. } => 3,
         })
--- a/crates/egretctl/src/remote.rs
+++ b/crates/egretctl/src/remote.rs
@@ -113,7 +113,7 @@
     let name = new.name.to_string();
     let old = match client.send(&AdminRequest::get(format!("/admin/v1/records/{name}"))).await {
         Ok(value) => lines(&value["record"]),
-        Err(Failure::Refused { .. }) => Vec::new(),
+        Err(Failure::NotFound { .. }) => Vec::new(),
         Err(other) => return Err(other),
     };
     let new = lines(&serde_json::to_value(&new).expect("plain data always encodes"));
--- a/crates/egretctl/tests/outcomes.rs
+++ b/crates/egretctl/tests/outcomes.rs
@@ -72,3 +72,28 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(text(&output).contains("nothing was changed"));
 }
+
+// Guards against a comparison with nothing because the stored record could not be read.
+#[test]
+fn refusal_is_not_taken_for_a_missing_record() {
+    let file = std::env::temp_dir().join(format!("egretctl-{}.yaml", std::process::id()));
+    let record = "schema: 1\nname: register\nservice: register\npath: /register\n\
+                  calls: [{ method: POST, path: /register/orders, once: true }]\n";
+    std::fs::write(&file, record).expect("a writable folder");
+    let path = file.to_str().expect("a text");
+    let forbidden = Reaction::Answer {
+        status: "401 Unauthorized",
+        body: r#"{"error":{"code":"unauthorized","ran":"not_run","message":"the key is wrong"}}"#,
+    };
+    let output = egretctl(&[forbidden], &["diff", path]);
+    assert_eq!(output.status.code(), Some(1), "{}", text(&output));
+    assert!(text(&output).contains("the key is wrong"));
+    let missing = Reaction::Answer {
+        status: "404 Not Found",
+        body: r#"{"error":{"code":"no_record","ran":"not_run","message":"there is no record"}}"#,
+    };
+    let output = egretctl(&[missing], &["diff", path]);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    assert!(text(&output).contains("+ name: \"register\""), "{}", text(&output));
+    let _ = std::fs::remove_file(&file);
+}
