Log how old a verification is when an engine is told to load

Cause: an agent's log had no line for a check of staged pieces, for its duration, for the age of what it found, nor for the engine's answer to a load order, so the three hypotheses of the spoilt weights could not be told apart. Change: pieces_verified names the duration of the check and of the slowest reading (hypothesis 1), load_ordered the age of the oldest verification (2), load_answered how long the engine took to answer (3). Ages still count from when a reading returned, as in the check itself. No logic changes.

--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -138,19 +138,31 @@
 
     /// Reads pieces back from the engine and records whether they are intact.
     pub(crate) async fn verify(&self, staged: &StagedVersion, indexes: Vec<u32>) {
+        let (started, read) = (Instant::now(), indexes.len());
+        let (mut corrupt, mut slowest) = (0, Duration::ZERO);
         let checks = stream::iter(indexes).map(async |index| {
+            let asked = Instant::now();
             let read = self.engine.read(&staged.target.model, index).await;
             let intact = matches!(&read, Ok(Some(content)) if staged.list.accepts(index, content));
-            (index, intact)
+            (index, intact, asked.elapsed())
         });
         let mut checks = std::pin::pin!(checks.buffer_unordered(VERIFY_WINDOW));
-        while let Some((index, intact)) = checks.next().await {
+        while let Some((index, intact, took)) = checks.next().await {
+            slowest = slowest.max(took);
             if intact {
                 staged.insert(index);
             } else {
+                corrupt += 1;
                 staged.remove(index);
             }
         }
+        log::info!(
+            "event=pieces_verified version={} read={read} corrupt={corrupt} took_ms={} \
+             slowest_ms={}",
+            staged.target.version,
+            started.elapsed().as_millis(),
+            slowest.as_millis()
+        );
     }
 
     /// Fetches all missing pieces; stops early when `cancelled` completes.
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -381,11 +381,20 @@
             mode = self.switch_mode(&target.model, loaded);
         }
         log::info!(
-            "event=load_ordered model={} version={} running={mode:?}",
+            "event=load_ordered model={} version={} running={mode:?} oldest_ms={}",
             target.model,
-            target.version
+            target.version,
+            staged.oldest().as_millis()
         );
+        let sent = self.follower.now();
         let ordered = self.engine.load(&target.model, target.version, mode).await;
+        log::info!(
+            "event=load_answered version={} took_ms={} oldest_ms={} error={:?}",
+            target.version,
+            (self.follower.now() - sent).as_millis(),
+            staged.oldest().as_millis(),
+            ordered.as_ref().err()
+        );
         let deadline = self.follower.now() + LOAD_TIMEOUT;
         while self.follower.now() < deadline {
             let report = self.engine.report().await?;
--- a/crates/egret_loader/src/staging.rs
+++ b/crates/egret_loader/src/staging.rs
@@ -80,6 +80,12 @@
         self.pieces.borrow().keys().copied().collect()
     }
 
+    /// Returns the age of the oldest verification of a staged piece.
+    pub(crate) fn oldest(&self) -> Duration {
+        let pieces = self.pieces.borrow();
+        pieces.values().min().map_or(Duration::ZERO, Instant::elapsed)
+    }
+
     /// Returns the pieces that were not verified within the last `age`.
     pub(crate) fn unverified(&self, age: Duration) -> Vec<u32> {
         let pieces = self.pieces.borrow();
