Do not trust weights that an earlier agent process left unproven

Cause: an agent trusted what its engine had loaded at the agent's first report. Change: the engine gives up unproven weights as soon as the proof fails, and before any piece is staged. A new process says nothing about what it finds loaded until it has read the pieces back; entries keep the last word of the earlier process. Since no pieces are staged while unproven weights are held, pieces that are intact then were taken.

--- a/crates/egret_loader/src/activation.rs
+++ b/crates/egret_loader/src/activation.rs
@@ -5,6 +5,9 @@
 //! the order may be late. So the agent reads all pieces back once more after the engine has
 //! accepted the order. A piece that is intact then, and was not staged meanwhile, was intact
 //! when the engine took it. Until that is shown, the weights are not reported as loaded.
+//!
+//! While the engine holds all layers of a version without that proof, no pieces are staged: it
+//! gives them up first. So pieces that a later process finds intact are those that were taken.
 
 use std::{cell::RefCell, ops::Range, time::Duration};
 
@@ -41,17 +44,19 @@
 /// let mut proof = LoadProof::default();
 /// let (first, second) = (loaded(WeightVersion(1)), loaded(WeightVersion(2)));
 /// proof.observe(&first, Instant::now());
-/// assert_eq!(proof.whole(&first).len(), 1, "it was loaded before this process started");
+/// assert_eq!(proof.whole(&first), None, "an earlier process may know more");
 /// proof.observe(&second, Instant::now());
-/// assert!(proof.whole(&second).is_empty());
+/// assert_eq!(proof.whole(&second), Some(vec![]));
 /// proof.prove(&Target { model: "m".into(), version: WeightVersion(2) });
-/// assert_eq!(proof.whole(&second).len(), 1);
+/// assert_eq!(proof.whole(&second).map(|models| models.len()), Some(1));
 /// ```
 #[derive(Debug, Default)]
 pub struct LoadProof {
     /// The engine's incarnation and its count of orders; `None` before its first report.
     seen: Option<(u64, Option<u64>)>,
     proven: Vec<Target>,
+    /// Weights in the first report, which may have been proven to an earlier process.
+    inherited: Vec<Target>,
     /// When a report was last asked for that showed neither an order in progress nor unproven
     /// weights.
     idle_at: Option<Instant>,
@@ -59,19 +64,26 @@
 
 impl LoadProof {
     /// Updates what is known from a report that was asked for at `asked`.
-    ///
-    /// Weights in the first report were loaded before this process started and are trusted.
     pub fn observe(&mut self, report: &EngineReport, asked: Instant) {
-        let loaded = || report.models.iter().filter(|loaded| loaded.complete);
+        let loaded = || report.models.iter().filter(|loaded| loaded.complete).map(target);
         let seen = (report.incarnation, report.orders);
         match self.seen.replace(seen) {
-            None => self.proven = loaded().map(target).collect(),
-            Some(known) if known != seen => self.proven.clear(),
+            None => self.inherited = loaded().collect(),
+            Some(known) if known != seen => {
+                self.proven.clear();
+                self.inherited.clear();
+            }
             Some(_) => {
-                self.proven.retain(|proven| loaded().any(|loaded| target(loaded) == *proven));
+                let is_loaded = |known: &Target| loaded().any(|loaded| loaded == *known);
+                self.proven.retain(is_loaded);
+                self.inherited.retain(is_loaded);
             }
         }
-        if !report.busy && report.models.iter().all(|loaded| self.covers(&target(loaded))) {
+        let is_known = |loaded| {
+            let target = target(loaded);
+            self.covers(&target) || self.inherits(&target)
+        };
+        if !report.busy && report.models.iter().all(is_known) {
             self.idle_at = Some(asked);
         }
     }
@@ -82,22 +94,32 @@
         self.proven.contains(target)
     }
 
-    /// Returns the loaded weights of `report` that are known to be whole.
+    /// Returns whether only an earlier process may know if the engine has loaded a version whole.
+    #[must_use]
+    pub fn inherits(&self, target: &Target) -> bool {
+        self.inherited.contains(target)
+    }
+
+    /// Returns the loaded weights of `report` that are known to be whole; `None` if only an
+    /// earlier process may know.
     #[must_use]
-    pub fn whole(&self, report: &EngineReport) -> Vec<LoadedModel> {
-        report.models.iter().filter(|loaded| self.covers(&target(loaded))).cloned().collect()
+    pub fn whole(&self, report: &EngineReport) -> Option<Vec<LoadedModel>> {
+        let models = report.models.iter().filter(|loaded| self.covers(&target(loaded)));
+        self.inherited.is_empty().then(|| models.cloned().collect())
     }
 
     /// Records that the engine has loaded a version whole.
     pub fn prove(&mut self, target: &Target) {
+        self.inherited.retain(|inherited| inherited != target);
         if !self.covers(target) {
             self.proven.push(target.clone());
         }
     }
 
-    /// Returns whether unproven weights were taken after a piece was last staged, if at all.
-    fn is_taken_after(&self, staged_at: Option<Instant>) -> bool {
-        staged_at.is_none_or(|staged| self.idle_at.is_some_and(|idle| staged < idle))
+    /// Returns whether an unproven version was taken after its pieces were last staged, if at all.
+    fn is_taken_after(&self, target: &Target, staged_at: Option<Instant>) -> bool {
+        let is_after = |staged| self.idle_at.is_some_and(|idle| staged < idle);
+        staged_at.is_none_or(|staged| !self.inherits(target) && is_after(staged))
     }
 }
 
@@ -130,12 +152,27 @@
         self.proof.borrow().covers(target)
     }
 
-    /// Returns the loaded weights of `report` that are known to be whole.
+    /// Returns whether only an earlier process may know if the engine has loaded a version whole.
+    #[must_use]
+    pub fn inherits(&self, target: &Target) -> bool {
+        self.proof.borrow().inherits(target)
+    }
+
+    /// Returns the loaded weights of `report` that are known to be whole; `None` if only an
+    /// earlier process may know.
     #[must_use]
-    pub fn whole(&self, report: &EngineReport) -> Vec<LoadedModel> {
+    pub fn whole(&self, report: &EngineReport) -> Option<Vec<LoadedModel>> {
         self.proof.borrow().whole(report)
     }
 
+    /// Returns a version that the engine has loaded and that is not known to be whole.
+    #[must_use]
+    pub fn unproven(&self, report: &EngineReport) -> Option<Target> {
+        let proof = self.proof.borrow();
+        let mut loaded = report.models.iter().filter(|loaded| loaded.complete).map(target);
+        loaded.find(|loaded| !proof.covers(loaded) && !proof.inherits(loaded))
+    }
+
     /// Tries to prove that the engine took a version whole that `report` shows as loaded.
     ///
     /// # Errors
@@ -147,8 +184,8 @@
         staged: &StagedVersion,
         report: &EngineReport,
     ) -> Result<bool, EngineError> {
-        let is_taken_after = self.proof.borrow().is_taken_after(staged.staged_at());
-        if !is_taken_after || !staged.missing().is_empty() || !fetcher.verify_all(staged).await {
+        let is_taken_after = self.proof.borrow().is_taken_after(&staged.target, staged.staged_at());
+        if !is_taken_after || !fetcher.verify_all(staged).await {
             return Ok(false);
         }
         let after = self.report(fetcher.engine()).await?;
@@ -156,8 +193,28 @@
         Ok(unchanged && self.prove(&after, &staged.target))
     }
 
-    /// Orders the engine to load a staged version, waits until it has, and tries to prove that it
-    /// took the version whole.
+    /// Makes the engine give up a version, so that it takes all layers anew at the next load.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`EngineError`] if the engine refuses the order or does not answer in time.
+    pub async fn give_up(
+        &self,
+        engine: &impl Engine,
+        target: &Target,
+        mode: SwitchMode,
+    ) -> Result<EngineReport, EngineError> {
+        log::warn!("event=weights_given_up model={} version={}", target.model, target.version);
+        let before = self.report(engine).await?;
+        let [layers, _] = RELOAD_STEPS;
+        let expected = before.orders;
+        let mut order = LoadOrder { target, layers: Some(layers), mode, expected };
+        send(engine, &mut order).await?;
+        self.wait_until(engine, |report| !report.busy).await
+    }
+
+    /// Orders the engine to load a staged version, and waits until it has; makes the engine give
+    /// it up if it cannot be proven whole.
     ///
     /// # Errors
     ///
@@ -199,10 +256,12 @@
         let (whole, after) = tokio::join!(verify, self.wait_until(engine, has_loaded));
         let after = after?;
         let unchanged = after.incarnation == before.incarnation && after.orders == order.expected;
-        if !(whole && unchanged && self.prove(&after, target)) {
-            log::warn!("event=load_unproven version={} whole={whole}", target.version);
+        if whole && unchanged && self.prove(&after, target) {
+            return Ok(after);
         }
-        started.map(|()| after)
+        log::warn!("event=load_unproven version={} whole={whole}", target.version);
+        started?;
+        self.give_up(engine, target, SwitchMode::Stop).await
     }
 
     /// Polls the engine until a report meets a condition; returns the last one in any case.
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -143,6 +143,17 @@
         let report = self.activation.report(&*self.engine).await?;
         self.publish_loaded(&report);
         let Some(target) = self.target(&report).await? else { return Ok(()) };
+        if let Some(unproven) =
+            self.activation.unproven(&report).filter(|unproven| *unproven != target)
+        {
+            // Its pieces are about to be replaced.
+            match self.give_up(&unproven).await {
+                Err(error @ EngineError::Refused { .. }) => {
+                    log::warn!("event=give_up_refused error=\"{error}\"");
+                }
+                done => return done,
+            }
+        }
         let loaded = version_of(&report.models, &target.model);
         if loaded == Some(target.version) {
             let staged = match self.staging.find(target.key()) {
@@ -156,22 +167,36 @@
                 }
                 return Ok(());
             }
-            if self.activation.confirm(&self.fetcher, &staged, &report).await? {
-                self.publish_loaded(&report);
-                return Ok(());
+            if !self.activation.confirm(&self.fetcher, &staged, &report).await? {
+                return self.give_up(&target).await;
             }
+            self.publish_loaded(&report);
+            return Ok(());
         }
-        let serving = version_of(&self.activation.whole(&report), &target.model);
-        let staged = self.fetch(&target, serving).await?;
+        let staged = self.fetch(&target, loaded).await?;
         if !self.is_current(&target) || !staged.missing().is_empty() {
             return Ok(());
         }
-        self.switch(&staged, serving).await
+        self.switch(&staged, loaded).await
+    }
+
+    /// Makes the engine give up a version that is not known to be whole.
+    async fn give_up(&self, target: &Target) -> Result<(), EngineError> {
+        if self.activation.inherits(target) {
+            // Entries may use it, if an earlier process knew it to be whole.
+            self.set_switching(true);
+            sleep(NOTICE_DELAY).await;
+        }
+        let engine = &*self.engine;
+        let report = self.activation.give_up(engine, target, SwitchMode::Finish).await?;
+        self.publish_loaded(&report);
+        self.set_switching(false);
+        Ok(())
     }
 
     /// Reports to entries and other agents which loaded weights are known to be whole.
     fn publish_loaded(&self, report: &EngineReport) {
-        let models = self.activation.whole(report);
+        let Some(models) = self.activation.whole(report) else { return };
         let loaded = EngineStatus { incarnation: report.incarnation, models };
         let published = self.follower.own_status().and_then(|process| process.loaded);
         if published.as_ref() != Some(&loaded) {
@@ -300,17 +325,12 @@
         table.insert(cached).table.sources(index, &mut rand::rng())
     }
 
-    /// Offers other agents the version that the engine loaded before this process started.
+    /// Offers other agents the version that the engine loaded before this process started, once
+    /// its pieces are verified.
     async fn serve_loaded(&self, target: &Target) -> Result<Rc<StagedVersion>, EngineError> {
         // The origin's link is needed for versions that no agent has, but a list is small.
         let list = self.fetcher.list(target, &self.sources(target, 0)).await?;
         let staged = Rc::new(StagedVersion::new(target.clone(), list));
-        self.fetcher.recover(&staged).await;
-        log::info!(
-            "event=pieces_held version={} pieces={}",
-            staged.target.version,
-            staged.indexes().len()
-        );
         self.staging.set(staged.clone());
         Ok(staged)
     }
--- a/crates/egret_loader/tests/activation.rs
+++ b/crates/egret_loader/tests/activation.rs
@@ -1,7 +1,8 @@
 //! Weights count as loaded only once they are known to be whole, in virtual time.
 //!
 //! The activation and the fetching code are the real ones. The engine's readings and answers are
-//! slow or lost, orders are carried out late or twice, pieces go bad, and the engine restarts.
+//! slow or lost, orders are carried out late or twice, pieces go bad, and the engine and its agent
+//! restart.
 
 use std::{
     cell::{Cell, RefCell},
@@ -15,7 +16,7 @@
 use egret_fleet::{LoadedModel, version_of};
 use egret_loader::{
     Activation, Engine, EngineError, EngineReport, Fetcher, LoadAnswer, LoadOrder, Origin, Peers,
-    PieceAnswer, Source, StagedVersion, Staging, SwitchMode, Target,
+    PieceAnswer, Source, StagedVersion, SwitchMode, Target,
 };
 use egret_record::{VersionDigest, WeightVersion};
 use egret_weights::{PieceDigest, PieceList};
@@ -337,38 +338,66 @@
     Reported,
 }
 
+/// What entries know of the engine from its agents: an incarnation, and its version if any is
+/// known to be whole.
+type Word = (u64, Option<WeightVersion>);
+
 struct Agent {
     engine: Rc<EngineClient>,
     fetcher: Fetcher<EngineClient, TrueOrigin, NoPeers>,
     activation: Activation,
     staged: StagedVersion,
-    published: Cell<Option<(u64, WeightVersion)>>,
+    /// Outlives the agent, as entries do.
+    word: Rc<Cell<Word>>,
     mode: Published,
 }
 
 impl Agent {
+    fn new(engine: Rc<FaultyEngine>, word: Rc<Cell<Word>>, mode: Published) -> Self {
+        let engine = Rc::new(EngineClient(engine));
+        Self {
+            fetcher: Fetcher::new(engine.clone(), TrueOrigin, NoPeers, Rc::default()),
+            engine,
+            activation: Activation::default(),
+            staged: StagedVersion::new(target(2), list(2)),
+            word,
+            mode,
+        }
+    }
+
     fn publish(&self, report: &EngineReport) {
         let models = match self.mode {
             Published::Whole => self.activation.whole(report),
-            Published::Reported => report.models.clone(),
+            Published::Reported => Some(report.models.clone()),
         };
-        let version = version_of(&models, MODEL);
-        self.published.set(version.map(|version| (report.incarnation, version)));
+        if let Some(models) = models {
+            self.word.set((report.incarnation, version_of(&models, MODEL)));
+        }
+    }
+
+    async fn give_up(&self, target: &Target) -> Result<(), EngineError> {
+        let given_up = self.activation.give_up(&*self.engine, target, SwitchMode::Stop);
+        self.publish(&given_up.await?);
+        Ok(())
     }
 
-    /// Does the next step towards version 2.
+    /// Does the next step towards version 2, as the loader does.
     async fn step(&self) -> Result<(), EngineError> {
         let report = self.activation.report(&*self.engine).await?;
         self.publish(&report);
         let wanted = target(2);
+        if let Some(unproven) = self.activation.unproven(&report).filter(|other| *other != wanted) {
+            return self.give_up(&unproven).await;
+        }
         if version_of(&report.models, MODEL) == Some(wanted.version) {
             if self.activation.covers(&wanted) {
                 return Ok(());
             }
-            if self.activation.confirm(&self.fetcher, &self.staged, &report).await? {
-                self.publish(&report);
-                return Ok(());
+            if !self.activation.confirm(&self.fetcher, &self.staged, &report).await? {
+                return self.give_up(&wanted).await;
             }
+            self.publish(&report);
+            return Ok(());
         }
         let fetched = self.fetcher.fetch_missing(
             &self.staged,
@@ -389,40 +418,38 @@
     }
 }
 
-/// Runs an agent beside a faulty engine; returns what went wrong.
+/// Runs agents one after the other, each until it is killed; the last one stays.
+async fn run_agents(engine: Rc<FaultyEngine>, word: Rc<Cell<Word>>, mode: Published) {
+    while engine.has_faults.get() {
+        let life = Duration::from_millis(engine.random.borrow_mut().random_range(100..9_000));
+        let agent = Agent::new(engine.clone(), word.clone(), mode);
+        let _ = timeout(life, agent.run()).await;
+        sleep(Duration::from_millis(300)).await;
+    }
+    Agent::new(engine, word, mode).run().await;
+}
+
+/// Runs agents beside a faulty engine; returns what went wrong.
 async fn run(seed: u64, mode: Published) -> Result<(), String> {
     let engine = FaultyEngine::new(seed);
-    let shared = Rc::new(EngineClient(engine.clone()));
-    let staging: Rc<Staging> = Rc::default();
-    let agent = Agent {
-        fetcher: Fetcher::new(shared.clone(), TrueOrigin, NoPeers, staging),
-        engine: shared,
-        activation: Activation::default(),
-        staged: StagedVersion::new(target(2), list(2)),
-        published: Cell::new(None),
-        mode,
-    };
-    // What is loaded before an agent's first report is trusted.
-    while agent.activation.report(&*agent.engine).await.is_err() {}
     spawn_local(engine.clone().cause_faults());
+    let word = Rc::new(Cell::new((1, Some(WeightVersion(1)))));
     let check = async {
         let start = Instant::now();
         loop {
             sleep(Duration::from_millis(1)).await;
             let mut state = engine.state.borrow_mut();
             let served = state.served();
-            // Entries expect the version that they know of from the agent.
-            let usable = agent.published.get().zip(served).filter(
-                |((incarnation, published), (version, _))| {
-                    *incarnation == state.incarnation && published.0 == *version
-                },
-            );
+            // Entries name the version that they expect.
+            let usable = served.filter(|(version, _)| {
+                word.get() == (state.incarnation, Some(WeightVersion(*version)))
+            });
             let at = start.elapsed();
             match usable {
-                Some((_, (version, false))) => {
+                Some((version, false)) => {
                     return Err(format!("spoilt layers of version {version} serve at {at:?}"));
                 }
-                Some((_, (2, true))) if at > FAULT_TIME => return Ok(()),
+                Some((2, true)) if at > FAULT_TIME => return Ok(()),
                 _ if at > FAULT_TIME + SETTLE_TIME => {
                     return Err(format!("version 2 does not serve {at:?} after the start"));
                 }
@@ -432,7 +459,7 @@
     };
     tokio::select! {
         result = check => result,
-        () = agent.run() => unreachable!("it runs for ever"),
+        () = run_agents(engine.clone(), word.clone(), mode) => unreachable!("it runs for ever"),
     }
 }
 
