Take nothing for proven that was loaded while this agent started

What callers would see: answers with a spoilt layer after a restart of an agent in the middle of a load. Cause: pieces that this process had not staged counted as not staged at all since the engine took them. An earlier process whose load lasted longer than it waits staged the bad piece again while the engine was still loading; the next one read all pieces back intact and took the load for whole. Change: a version that was not loaded yet in the first report is only proven if it was taken after a report of this process, and nothing is staged while the engine is busy.

--- a/crates/egret_loader/src/activation.rs
+++ b/crates/egret_loader/src/activation.rs
@@ -6,8 +6,8 @@
 //! accepted the order. A piece that is intact then, and was not staged meanwhile, was intact
 //! when the engine took it. Until that is shown, the weights are not reported as loaded.
 //!
-//! While the engine holds all layers of a version without that proof, no pieces are staged: it
-//! gives them up first. So pieces that a later process finds intact are those that were taken.
+//! While the engine loads, or holds all layers of a version without that proof, no pieces are
+//! staged: it gives them up first. So pieces that a later process finds intact are those that were taken.
 
 use std::{cell::RefCell, ops::Range, time::Duration};
 
@@ -116,10 +116,15 @@
         }
     }
 
-    /// Returns whether an unproven version was taken after its pieces were last staged, if at all.
+    /// Returns whether an unproven version was taken after its pieces were last staged.
+    ///
+    /// Earlier processes stage no pieces once the engine has loaded a version. This one can only
+    /// tell for a version that was taken after a report.
     fn is_taken_after(&self, target: &Target, staged_at: Option<Instant>) -> bool {
-        let is_after = |staged| self.idle_at.is_some_and(|idle| staged < idle);
-        staged_at.is_none_or(|staged| !self.inherits(target) && is_after(staged))
+        if self.inherits(target) {
+            return staged_at.is_none();
+        }
+        self.idle_at.is_some_and(|idle| staged_at.is_none_or(|staged| staged < idle))
     }
 }
 
--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -129,7 +129,7 @@
     }
 
     /// Records the pieces that the engine still holds and that pass verification.
-    pub(crate) async fn recover(&self, staged: &StagedVersion) {
+    pub async fn recover(&self, staged: &StagedVersion) {
         match self.engine.staged(&staged.target.model).await {
             Ok(indexes) => self.verify(staged, indexes).await,
             Err(error) => log::warn!("event=staged_list_failed error=\"{error}\""),
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -142,6 +142,9 @@
     async fn step(&self) -> Result<(), EngineError> {
         let report = self.activation.report(&*self.engine).await?;
         self.publish_loaded(&report);
+        if report.busy {
+            return Err(EngineError::Busy);
+        }
         let Some(target) = self.target(&report).await? else { return Ok(()) };
         if let Some(unproven) =
             self.activation.unproven(&report).filter(|unproven| *unproven != target)
--- a/crates/egret_loader/tests/activation.rs
+++ b/crates/egret_loader/tests/activation.rs
@@ -385,6 +385,9 @@
     async fn step(&self) -> Result<(), EngineError> {
         let report = self.activation.report(&*self.engine).await?;
         self.publish(&report);
+        if report.busy {
+            return Err(EngineError::Busy);
+        }
         let wanted = target(2);
         if let Some(unproven) = self.activation.unproven(&report).filter(|other| *other != wanted) {
             return self.give_up(&unproven).await;
@@ -476,6 +479,72 @@
     std::env::var("EGRET_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(60)
 }
 
+fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Starts an engine without faults, and an agent whose word entries have not heard yet.
+fn calm() -> (Rc<FaultyEngine>, Agent) {
+    let engine = FaultyEngine::new(1);
+    engine.has_faults.set(false);
+    let agent = Agent::new(engine.clone(), Rc::new(Cell::new((0, None))), Published::Whole);
+    (engine, agent)
+}
+
+async fn fetch(agent: &Agent) {
+    let sources = |_| vec![Source::Origin];
+    agent.fetcher.fetch_missing(&agent.staged, sources, std::future::pending()).await;
+}
+
+// Guards against an agent that starts while the engine is loading, and takes the pieces that its
+// predecessor staged after the engine had accepted the order for those that the engine took.
+#[test]
+fn agent_that_starts_during_a_load_proves_no_spoilt_layer() {
+    block_on(async {
+        let (engine, first) = calm();
+        first.activation.report(&*first.engine).await.expect("a report");
+        fetch(&first).await;
+        engine.state.borrow_mut().pieces.insert(0, Bytes::from_static(b"bad"));
+        let prolong = async {
+            while engine.state.borrow().loading.is_none() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            // It finishes requests in flight first.
+            let done = Instant::now() + Duration::from_secs(8);
+            engine.state.borrow_mut().loading.as_mut().expect("it is loading").0 = done;
+        };
+        let load = first.activation.load(&first.fetcher, &first.staged, SwitchMode::Finish);
+        let _ = tokio::join!(load, prolong);
+        assert_eq!(first.staged.missing(), [0], "it was found bad");
+        fetch(&first).await;
+        drop(first);
+
+        let word = Rc::new(Cell::new((0, None)));
+        let second = Agent::new(engine.clone(), word.clone(), Published::Whole);
+        let report = second.activation.report(&*second.engine).await.expect("a report");
+        assert!(report.busy && report.models.is_empty());
+        // As the loader does for a version of which nothing is known to be staged.
+        second.fetcher.recover(&second.staged).await;
+        let check = async {
+            loop {
+                sleep(Duration::from_millis(1)).await;
+                let mut state = engine.state.borrow_mut();
+                if let Some((version, whole)) = state.served() {
+                    let said = word.get() == (state.incarnation, Some(WeightVersion(version)));
+                    assert!(whole || !said, "spoilt layers of version {version} are published");
+                }
+            }
+        };
+        let _ = timeout(Duration::from_secs(20), async { tokio::join!(check, second.run()) }).await;
+        assert_eq!(word.get(), (1, Some(WeightVersion(2))), "it serves in the end");
+    });
+}
+
 // Guards against engines that serve layers taken from pieces that had gone bad, whatever was slow,
 // late, lost or repeated between the agent and its engine.
 #[test]
