Let an agent's word of a later incarnation end that of an earlier one

What callers would see: answers with a spoilt layer for some tenths of a second after an engine came back under its id. Cause: an entry that had not heard the engine's new status report yet ignored what the agent said of the new incarnation and kept the version of the old one, which the engine answers to; and an engine that serves nothing was no longer checked before the order, so it held bad layers until the check after it. Change: the word of the latest incarnation counts, and the engine is not used until both agree; pieces that were not read for ten seconds are read before an order to an engine that serves nothing, too. Test: restarted_engine_that_entries_have_not_heard_of_answers_with_no_spoilt_layer.

--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -137,12 +137,14 @@
     /// Updates what is known of its weights from the agents of engines at its address.
     pub(crate) fn observe(&self, observed: &[&EngineStatus]) {
         let incarnation = self.status.borrow().stamp.incarnation;
-        let is_own = |observed: &EngineStatus| observed.incarnation == incarnation;
         let mut known = self.observed.borrow_mut();
-        let own = observed.iter().find(|observed| is_own(observed));
-        // An agent may not have seen this incarnation yet.
-        let other = observed.first().filter(|_| !known.as_ref().is_some_and(is_own));
-        if let Some(latest) = own.or(other) {
+        let own = observed.iter().find(|observed| observed.incarnation == incarnation);
+        let Some(latest) = own.or_else(|| observed.iter().max_by_key(|other| other.incarnation))
+        else {
+            return;
+        };
+        // An agent may not have seen this incarnation yet, or may have seen that it has ended.
+        if known.as_ref().is_none_or(|known| known.incarnation <= latest.incarnation) {
             *known = Some((**latest).clone());
         }
     }
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -28,6 +28,9 @@
 /// Age up to which a verified piece is not read back again before a load order. Staged pieces may
 /// become corrupt, but reading all of them back takes some tenths of a second.
 const VERIFIED_TTL: Duration = Duration::from_secs(1);
+/// [`VERIFIED_TTL`] for an engine that serves nothing: its pieces are verified after the order in
+/// any case.
+const IDLE_VERIFIED_TTL: Duration = Duration::from_secs(10);
 /// Delay before a retry after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -389,12 +392,14 @@
         loaded: Option<WeightVersion>,
     ) -> Result<(), EngineError> {
         let target = &staged.target;
-        if let Some(loaded) = loaded {
+        let ttl = if let Some(loaded) = loaded {
             self.wait_for_turn(target, loaded).await;
-            // The engine keeps serving the old version meanwhile, and would serve nothing after a
-            // load of corrupt pieces.
-            self.fetcher.verify(staged, staged.unverified(VERIFIED_TTL)).await;
-        }
+            VERIFIED_TTL
+        } else {
+            IDLE_VERIFIED_TTL
+        };
+        // An engine that serves an old version keeps serving it meanwhile.
+        self.fetcher.verify(staged, staged.unverified(ttl)).await;
         if !self.is_current(target) {
             return Ok(());
         }
