Ask again for pieces that the engine did not answer for

What callers would see: an engine that serves nothing for long, though all it holds is whole. Cause: a reading without an answer counted as a corrupt piece. It was staged again, so the load could not be proven and was done again, with as many readings. Change: such pieces are asked for again, up to three times in all; a check ends as soon as one piece is corrupt.

--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -28,6 +28,8 @@
 
 /// Pieces that are read back and verified concurrently.
 const VERIFY_WINDOW: usize = 12;
+/// How often the engine is asked for a piece that it does not answer for.
+const READ_ATTEMPTS: usize = 3;
 /// Timeout of a piece request to another agent.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Back-off from an agent that failed.
@@ -131,44 +133,59 @@
     /// Records the pieces that the engine still holds and that pass verification.
     pub async fn recover(&self, staged: &StagedVersion) {
         match self.engine.staged(&staged.target.model).await {
-            Ok(indexes) => self.verify(staged, indexes).await,
+            Ok(indexes) => drop(self.verify(staged, indexes).await),
             Err(error) => log::warn!("event=staged_list_failed error=\"{error}\""),
         }
     }
 
-    /// Reads pieces back from the engine and records whether they are intact.
-    pub(crate) async fn verify(&self, staged: &StagedVersion, indexes: Vec<u32>) {
+    /// Reads pieces back from the engine and records whether they are intact; returns those that
+    /// the engine did not answer for.
+    pub(crate) async fn verify(&self, staged: &StagedVersion, indexes: Vec<u32>) -> Vec<u32> {
         let (started, read) = (Instant::now(), indexes.len());
-        let (mut corrupt, mut slowest) = (0, Duration::ZERO);
+        let (mut corrupt, mut slowest, mut unanswered) = (0, Duration::ZERO, Vec::new());
         let checks = stream::iter(indexes).map(async |index| {
             let asked = Instant::now();
             let read = self.engine.read(&staged.target.model, index).await;
-            let intact = matches!(&read, Ok(Some(content)) if staged.list.accepts(index, content));
-            (index, intact, asked)
+            let is_intact = |content: Option<Bytes>| {
+                content.is_some_and(|content| staged.list.accepts(index, &content))
+            };
+            (index, read.map(is_intact), asked)
         });
         let mut checks = std::pin::pin!(checks.buffer_unordered(VERIFY_WINDOW));
         while let Some((index, intact, asked)) = checks.next().await {
             slowest = slowest.max(asked.elapsed());
-            if intact {
-                staged.insert(index, asked);
-            } else {
-                corrupt += 1;
-                staged.remove(index);
+            match intact {
+                Ok(true) => staged.insert(index, asked),
+                Ok(false) => {
+                    corrupt += 1;
+                    staged.remove(index);
+                }
+                Err(_) => unanswered.push(index),
             }
         }
         log::info!(
-            "event=pieces_verified version={} read={read} corrupt={corrupt} took_ms={} \
-             slowest_ms={}",
+            "event=pieces_verified version={} read={read} corrupt={corrupt} unanswered={} \
+             took_ms={} slowest_ms={}",
             staged.target.version,
+            unanswered.len(),
             started.elapsed().as_millis(),
             slowest.as_millis()
         );
+        unanswered
     }
 
     /// Reads all pieces back from the engine; returns whether each is intact.
+    ///
+    /// Asks again for pieces that the engine did not answer for, unless others are corrupt.
     pub(crate) async fn verify_all(&self, staged: &StagedVersion) -> bool {
-        self.verify(staged, (0..staged.list.count()).collect()).await;
-        staged.missing().is_empty()
+        let mut remaining: Vec<u32> = (0..staged.list.count()).collect();
+        for _ in 0..READ_ATTEMPTS {
+            remaining = self.verify(staged, remaining).await;
+            if remaining.is_empty() || !staged.missing().is_empty() {
+                break;
+            }
+        }
+        remaining.is_empty() && staged.missing().is_empty()
     }
 
     pub(crate) fn engine(&self) -> &E {
--- a/crates/egret_loader/tests/activation.rs
+++ b/crates/egret_loader/tests/activation.rs
@@ -59,6 +59,9 @@
     state: RefCell<State>,
     random: RefCell<SmallRng>,
     has_faults: Cell<bool>,
+    reads: Cell<u32>,
+    /// How many readings there are to each one that gets no answer.
+    reads_to_lost: Cell<Option<u32>>,
 }
 
 fn content(version: u64, index: u32) -> Bytes {
@@ -153,6 +156,8 @@
             state: RefCell::new(state),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             has_faults: Cell::new(true),
+            reads: Cell::new(0),
+            reads_to_lost: Cell::new(None),
         })
     }
 
@@ -243,6 +248,12 @@
     }
 
     async fn read(&self, _: &str, index: u32) -> Result<Option<Bytes>, EngineError> {
+        let reads = self.0.reads.get() + 1;
+        self.0.reads.set(reads);
+        if self.0.reads_to_lost.get().is_some_and(|count| reads.is_multiple_of(count)) {
+            sleep(ENGINE_TIMEOUT).await;
+            return Err(EngineError::Unreachable("no answer in time".to_owned()));
+        }
         self.0.answer(async { self.0.state.borrow().pieces.get(&index).cloned() }).await
     }
 
@@ -545,6 +556,28 @@
     });
 }
 
+// Guards against an engine that stays out of service though nothing it holds is spoilt, since one
+// reading in each pass gets no answer.
+#[test]
+fn lost_readings_keep_no_engine_out_of_service() {
+    block_on(async {
+        let (engine, agent) = calm();
+        engine.reads_to_lost.set(Some(PIECES - 1));
+        agent.activation.report(&*agent.engine).await.expect("a report");
+        let serves = async {
+            while agent.word.get() != (1, Some(WeightVersion(2))) {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let served = tokio::select! {
+            served = timeout(SETTLE_TIME, serves) => served.is_ok(),
+            () = agent.run() => unreachable!("it runs for ever"),
+        };
+        let state = engine.state.borrow();
+        assert!(served, "not in service after {SETTLE_TIME:?} and {} orders", state.orders);
+    });
+}
+
 // Guards against engines that serve layers taken from pieces that had gone bad, whatever was slow,
 // late, lost or repeated between the agent and its engine.
 #[test]
