Fetch weights again that an engine found spoilt

What callers saw: no answer from damaged weights, since the agent admits requests only once the engine names the digest of what it has loaded. But weights that were spoilt between the agent's check and the engine's reading were never fetched again: the only engine of a model refused all requests with "the engine holds no version yet" until its agent was restarted.

Cause: the agent kept its list of stored chunks, by which the version was complete, and so only checked the whole content again every half second ("the chunks do not match its content digest"). If the file was replaced, it checked the old file, which it had open, and found it intact, while the engine read the new one by its path.

Now a version whose files are damaged, which the engine does not confirm or cannot read, is opened anew by its path and each chunk is checked, as after a restart, so that damaged chunks are fetched again. An order that is refused for an outdated fence says nothing of the files and does not cause this. The check of a version found on disk runs on a thread for blocking work, so that peers are served meanwhile.

Ruled out: that such weights are served. The engine's digest must equal the ordered content before requests are admitted, and again on every answer; in both tests the engine loaded the spoilt file and nothing was admitted.

The event switch_started is new: it shows when the agent begins to wait for requests in flight, which the tests need.

--- a/crates/egret_agent/src/peer_server.rs
+++ b/crates/egret_agent/src/peer_server.rs
@@ -50,6 +50,10 @@
         held
     }
 
+    pub(crate) fn remove(&self, digest: VersionDigest) {
+        self.versions.borrow_mut().remove(&digest);
+    }
+
     pub(crate) fn retain(&self, keep: impl Fn(VersionDigest) -> bool) {
         self.versions.borrow_mut().retain(|digest, _| keep(*digest));
     }
--- a/crates/egret_agent/src/rollout.rs
+++ b/crates/egret_agent/src/rollout.rs
@@ -9,7 +9,8 @@
 
 use egret_record::{Assignment, Backend, Fence, ModelTarget, Phase, Revision, VersionDigest};
 use egret_rpc::{Command, ControlHandle, Request};
-use egret_weights::{ChunkStore, StoreError};
+use egret_weights::{ChunkStore, StoreError, VersionFolder};
+use http::StatusCode;
 use thiserror::Error;
 use tokio::{
     sync::watch,
@@ -45,6 +46,18 @@
     NoRecord,
 }
 
+impl RolloutError {
+    /// Returns whether the stored weights may be damaged, or not those that the engine reads.
+    fn distrusts_weights(&self) -> bool {
+        match self {
+            Self::Store(_) | Self::NotConfirmed => true,
+            // An outdated fence says nothing about the weights.
+            Self::Engine(EngineError::Refused(status)) => *status != StatusCode::CONFLICT,
+            Self::Fetch(_) | Self::Engine(_) | Self::NoRecord => false,
+        }
+    }
+}
+
 /// Carries out the orders for one backend server.
 pub(crate) struct Rollout {
     pub(crate) shared: Arc<SharedState>,
@@ -119,6 +132,9 @@
                 Ok(()) => self.watch_engine(order).await,
                 Err(error) => {
                     log::warn!("event=rollout_failed fence={} error=\"{error}\"", order.fence);
+                    if error.distrusts_weights() {
+                        self.versions.remove(order.digest);
+                    }
                     self.report_phase(order, None).await;
                 }
             }
@@ -148,11 +164,12 @@
         self.activate(order, &model, &held).await
     }
 
+    /// Returns the chunks of a version; those not held yet, or no longer trusted, are checked anew.
     async fn prepare(&self, model: &ModelTarget) -> Result<HeldVersion, RolloutError> {
         if let Some(held) = self.versions.get(model.digest) {
             return Ok(held);
         }
-        let folder = match self.store.find(model.digest)? {
+        let folder = match find(&self.store, model.digest).await? {
             Some(folder) => folder,
             None => {
                 let manifest = self.fetcher.manifest(model).await?;
@@ -179,6 +196,12 @@
         let active = ActiveVersion { digest: order.digest, content };
         if self.shared.active() != Some(active) {
             self.shared.set_active(None);
+            log::info!(
+                "event=switch_started version={} fence={} running={}",
+                order.digest.short(),
+                order.fence,
+                self.shared.concurrency().running()
+            );
             self.shared.wait_until_idle().await;
             self.engine.load(&model.model, &weights, order.fence).await?;
             if self.engine.version().await? != Some(content) {
@@ -242,8 +265,18 @@
     }
 }
 
+/// Opens a stored version and verifies its chunks on a thread for blocking work.
+async fn find(
+    store: &ChunkStore,
+    digest: VersionDigest,
+) -> Result<Option<VersionFolder>, StoreError> {
+    let store = store.clone();
+    let found = tokio::task::spawn_blocking(move || store.find(digest)).await;
+    found.expect("the verification does not panic")
+}
+
 /// Verifies the whole content of a version on a thread for blocking work.
-async fn verify(folder: &RefCell<egret_weights::VersionFolder>) -> Result<(), StoreError> {
+async fn verify(folder: &RefCell<VersionFolder>) -> Result<(), StoreError> {
     let verifier = folder.borrow().verifier()?;
     let verified = tokio::task::spawn_blocking(move || verifier.verify()).await;
     verified.expect("the verification does not panic")
--- a/crates/egret_bench/tests/promises.rs
+++ b/crates/egret_bench/tests/promises.rs
@@ -1,6 +1,6 @@
 //! Guarantees towards callers, each under the failure that could break it.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use egret_bench::{
     FullResponse,
@@ -11,6 +11,7 @@
     send_request,
 };
 use egret_http::{HttpClient, headers};
+use egret_record::VersionDigest;
 use egret_route::{Ran, Refusal};
 use http::Method;
 use rustix::process::Signal;
@@ -208,6 +209,114 @@
     deployment.wait_for_log("runner-1", TIMEOUT, corrected).await.unwrap();
 }
 
+/// A deployment in the middle of a switch: the agent of `runner-1` has verified the new version and
+/// waits for a stream in flight before it orders the engine to load it.
+struct Switch {
+    deployment: Deployment,
+    stream: tokio::task::JoinHandle<FullResponse>,
+    digest: String,
+}
+
+impl Switch {
+    /// Size of both versions, in bytes.
+    const BYTES: usize = 100_000;
+    /// Content of the new version.
+    const CONTENT: [u8; Self::BYTES] = [8; Self::BYTES];
+
+    async fn start() -> Self {
+        let (deployment, _) =
+            start_small_with(&["--tokens", "120", "--between-tokens-ms", "50"]).await;
+        let status = deployment.status().await.expect("the step succeeds");
+        let agent = status["backends"][0]["address"].as_str().expect("a backend server");
+        let agent: SocketAddr = agent.parse().expect("an address");
+        let stream = tokio::spawn(ask_agent(agent, true, TIMEOUT));
+        let (digest, origin) =
+            deployment.publish("drafts", "v2", &Self::CONTENT, 16_384).expect("the step succeeds");
+        let record = format!(
+            "schema: 1\nname: drafting\nmodel: drafts\nversion: v2\ndigest: {digest}\n\
+             origin: {origin}\nreplicas: 1\n"
+        );
+        let path = deployment.write("record.yaml", &record).expect("the step succeeds");
+        deployment.ctl(&["apply", &path]).await.expect("the step succeeds");
+        let switch = Self { deployment, stream, digest };
+        let waits = |log: &str| {
+            let waits = format!("event=switch_started version={}", &switch.digest[..8]);
+            log.contains(&waits)
+        };
+        switch.deployment.wait_for_log("runner-1", TIMEOUT, waits).await.expect("it waits");
+        assert!(!switch.stream.is_finished(), "the stream ended before the agent waited for it");
+        switch
+    }
+
+    /// Returns the digest of the weights that the engine has loaded.
+    async fn loaded(&self) -> Value {
+        let client = HttpClient::unpooled(None);
+        let engine = self.deployment.backends["runner-1"];
+        let path = "/admin/version";
+        let reply =
+            send_request(&client, Method::GET, engine, path, &[], String::new(), TIMEOUT).await;
+        reply.expect("the step succeeds").json()["content"].clone()
+    }
+}
+
+/// Sends a request to an agent, as an entry would.
+async fn ask_agent(agent: SocketAddr, stream: bool, limit: Duration) -> FullResponse {
+    let client = HttpClient::unpooled(None);
+    let limit_ms = limit.as_millis().to_string();
+    let fields = [
+        ("content-type", "application/json"),
+        (headers::RECORD, "drafting"),
+        (headers::DEADLINE, &limit_ms),
+    ];
+    let body = json!({ "stream": stream, "messages": [{ "content": "oak" }] }).to_string();
+    send_request(&client, Method::POST, agent, "/v1/chat/completions", &fields, body, TIMEOUT)
+        .await
+        .expect("the step succeeds")
+}
+
+/// Waits until a caller gets an answer again, which must come from the intact new version.
+async fn expect_intact(switch: &Switch) {
+    let deadline = Instant::now() + TIMEOUT;
+    loop {
+        let response = chat(entry(&switch.deployment), true).await;
+        if response.status.is_success() {
+            let version = response.headers.get(headers::VERSION).expect("a version");
+            assert_eq!(version.to_str().ok(), Some(switch.digest.as_str()));
+            assert_eq!(switch.loaded().await, json!(VersionDigest::of(&Switch::CONTENT)));
+            break;
+        }
+        assert!(Refusal::parse(&response.body).is_some(), "{response:?}");
+        assert!(Instant::now() < deadline, "the weights were not fetched again: {response:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let refused = |log: &str| log.contains("the engine serves another version than ordered");
+    let logged = switch.deployment.wait_for_log("runner-1", TIMEOUT, refused).await;
+    logged.expect("the engine read the spoilt weights");
+}
+
+// Guards against weights that are spoilt after the agent has verified them, and before the engine
+// reads them: an agent that serves them, or that never fetches them again.
+#[tokio::test(flavor = "multi_thread")]
+async fn weights_spoilt_before_the_engine_reads_them_are_not_served_but_fetched_again() {
+    let switch = Switch::start().await;
+    let file = format!("runner-1/data/versions/{}/weights", switch.digest);
+    switch.deployment.write(&file, &"x".repeat(Switch::BYTES)).expect("the step succeeds");
+    expect_intact(&switch).await;
+}
+
+// Guards against a file of weights that is replaced, so that the agent verifies the old file, which
+// it has open, and the engine reads the new one by its path.
+#[tokio::test(flavor = "multi_thread")]
+async fn weights_replaced_before_the_engine_reads_them_are_not_served_but_fetched_again() {
+    let switch = Switch::start().await;
+    let folder = format!("runner-1/data/versions/{}", switch.digest);
+    let other = format!("{folder}/other");
+    let other = switch.deployment.write(&other, &"x".repeat(Switch::BYTES)).expect("a file");
+    let weights = Path::new(&other).with_file_name("weights");
+    std::fs::rename(&other, weights).expect("the step succeeds");
+    expect_intact(&switch).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn graceful_stop_interrupts_no_request() {
     let plan = plan();
--- a/crates/egret_weights/src/chunk_store.rs
+++ b/crates/egret_weights/src/chunk_store.rs
@@ -61,7 +61,7 @@
 }
 
 /// The versions on disk, within a size limit.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ChunkStore {
     folder: PathBuf,
     limit: u64,
