Order no load after the agent's lease has ended

What callers would see: with an engine that ignores fencing numbers, an agent that is cut off or paused while it waits for requests in flight switches the engine afterwards, although a new agent may own it: the answers in flight there fail until the new agent has corrected the engine. Nothing wrong is served, since versions are compared on every answer.

Cause: requests are admitted only while the lease is held, but the order to load, which may come any time after its permission (it waits for all requests in flight), did not look at the lease. A new agent of an engine without fencing waits out the lease of the former one, which relies on it.

Now the lease is checked directly before the order. If it has ended, the switch is tried again every half second until it is renewed. Nothing is lost by waiting: without the lease no request would be admitted either. A pause between the check and the order is still possible; the fencing number, or the comparison of versions, covers that.

Evidence: agent_orders_no_load_until_its_lease_is_renewed stops control while a stream is in flight.

--- a/crates/egret_agent/src/rollout.rs
+++ b/crates/egret_agent/src/rollout.rs
@@ -44,6 +44,8 @@
     NotConfirmed,
     #[error("the record of the order is gone; waiting for the next order")]
     NoRecord,
+    #[error("the lease has ended; the engine is switched once it is renewed")]
+    NoLease,
 }
 
 impl RolloutError {
@@ -53,7 +55,7 @@
             Self::Store(_) | Self::NotConfirmed => true,
             // An outdated fence says nothing about the weights.
             Self::Engine(EngineError::Refused(status)) => *status != StatusCode::CONFLICT,
-            Self::Fetch(_) | Self::Engine(_) | Self::NoRecord => false,
+            Self::Fetch(_) | Self::Engine(_) | Self::NoRecord | Self::NoLease => false,
         }
     }
 }
@@ -203,6 +205,10 @@
                 self.shared.concurrency().running()
             );
             self.shared.wait_until_idle().await;
+            // The lease may have ended during the wait, and another agent may own the engine.
+            if !self.shared.lease.is_held() {
+                return Err(RolloutError::NoLease);
+            }
             self.engine.load(&model.model, &weights, order.fence).await?;
             if self.engine.version().await? != Some(content) {
                 return Err(RolloutError::NotConfirmed);
--- a/crates/egret_bench/tests/promises.rs
+++ b/crates/egret_bench/tests/promises.rs
@@ -12,7 +12,7 @@
 };
 use egret_http::{HttpClient, headers};
 use egret_record::VersionDigest;
-use egret_route::{Ran, Refusal};
+use egret_route::{Code, Ran, Refusal};
 use http::Method;
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -213,6 +213,7 @@
 /// waits for a stream in flight before it orders the engine to load it.
 struct Switch {
     deployment: Deployment,
+    agent: SocketAddr,
     stream: tokio::task::JoinHandle<FullResponse>,
     digest: String,
 }
@@ -238,7 +239,7 @@
         );
         let path = deployment.write("record.yaml", &record).expect("the step succeeds");
         deployment.ctl(&["apply", &path]).await.expect("the step succeeds");
-        let switch = Self { deployment, stream, digest };
+        let switch = Self { deployment, agent, stream, digest };
         let waits = |log: &str| {
             let waits = format!("event=switch_started version={}", &switch.digest[..8]);
             log.contains(&waits)
@@ -248,6 +249,19 @@
         switch
     }
 
+    /// Waits until the agent refuses requests for this reason.
+    async fn wait_refused(&self, code: Code) {
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let response = ask_agent(self.agent, false, Duration::from_millis(50)).await;
+            if Refusal::parse(&response.body).is_some_and(|refusal| refusal.code == code) {
+                break;
+            }
+            assert!(Instant::now() < deadline, "{response:?}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Returns the digest of the weights that the engine has loaded.
     async fn loaded(&self) -> Value {
         let client = HttpClient::unpooled(None);
@@ -317,6 +331,24 @@
     expect_intact(&switch).await;
 }
 
+// Guards against an agent that switches its engine by a permission that has expired.
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_orders_no_load_until_its_lease_is_renewed() {
+    let mut switch = Switch::start().await;
+    let before = switch.loaded().await;
+    switch.deployment.signal("control-1", Signal::STOP);
+    switch.wait_refused(Code::NotInService).await;
+    assert!(!switch.stream.is_finished(), "the stream ended before the lease");
+    assert!((&mut switch.stream).await.expect("no panic").status.is_success());
+    // The agent retries a failed switch every half second.
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(switch.loaded().await, before, "the engine was switched without a lease");
+    switch.deployment.signal("control-1", Signal::CONT);
+    let live = |status: &Value| status["records"][0]["live"].as_u64() == Some(1);
+    switch.deployment.wait_for(TIMEOUT, live).await.expect("the switch goes on");
+    assert_eq!(switch.loaded().await, json!(VersionDigest::of(&Switch::CONTENT)));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn graceful_stop_interrupts_no_request() {
     let plan = plan();
