Order departures by one rule, and pass on those that follow from an address

What callers would see: requests to a backend server that has left.

Cause: a departure never superseded another one, whatever their stamps; and when a backend server took over an address, what was known of the former owner was replaced without comparison: a departure by one that a late report undoes, and a later incarnation at another address by the departure of an earlier one. The departure of a former owner also reached no other instance: one that had not been sent the report of the new owner, since that had departed meanwhile, kept the former one.

Now updates have one order: by stamp, and a departure after the report with its stamp. An expiry has the stamp of the last report, so the next report undoes it; a deregistration has StatusStamp::end, which only a later incarnation follows. Fleet::implied_departure says which departure follows from a report at an address that another one has, of the former owner or of the sender itself; it is compared like any update and put in the feed, where followers and the other control instances read it.

Ruled out: the exchange between instances and a restart of one of them lose no departure that any instance still knows, as the whole status that a new follower is sent contains departures. Processes do not deregister; their reports and expiries follow the same order.

Not covered: a departure is remembered for 120 s, and is lost if all instances that know it restart before another has read it.

Evidence: three new tests in status_updates failed before ("left: Stale right: Change" twice; "its departure holds, left: Change right: Stale").

--- a/crates/egret_control/src/local_control.rs
+++ b/crates/egret_control/src/local_control.rs
@@ -144,8 +144,7 @@
             // This instance does not know the backend server, so it has sent its status to nobody.
             return Ok(());
         };
-        self.observe(&StatusUpdate::Gone(key, StatusStamp { incarnation, seq: u64::MAX }), limit)
-            .await
+        self.observe(&StatusUpdate::Gone(key, StatusStamp::end(incarnation)), limit).await
     }
 
     async fn wait_for_leader(&self, deadline: Instant) -> Result<(), RequestError> {
--- a/crates/egret_fleet/src/fleet.rs
+++ b/crates/egret_fleet/src/fleet.rs
@@ -50,10 +50,16 @@
         if earlier.is_some_and(|known| !is_later(update, &known.status)) {
             return UpdateKind::Stale;
         }
-        if let StatusUpdate::Backend(backend) = update
-            && !self.claim_address(backend, now)
-        {
-            return UpdateKind::Stale;
+        if let Some(status) = self.implied_departure(update) {
+            let departed = status.key();
+            let known = KnownStatus { status, last_seen: now, changed: now };
+            self.known.insert(departed.clone(), known);
+            if departed == key {
+                return UpdateKind::Stale;
+            }
+        }
+        if let StatusUpdate::Backend(backend) = update {
+            self.addresses.insert(backend.address, (backend.stamp, backend.id.clone()));
         }
         if let StatusUpdate::Gone(StatusKey::Backend(id), stamp) = update {
             self.remove_limit(id, stamp.incarnation);
@@ -65,6 +71,32 @@
         if change { UpdateKind::Change } else { UpdateKind::Refresh }
     }
 
+    /// Returns the departure that follows from an update, if any.
+    ///
+    /// Of two backend servers that report the same address, the earlier incarnation has crashed
+    /// without deregistering. [`observe`](Self::observe) stores its departure.
+    #[must_use]
+    pub fn implied_departure(&self, update: &StatusUpdate) -> Option<StatusUpdate> {
+        let StatusUpdate::Backend(backend) = update else { return None };
+        let known = self.known.get(&update.key());
+        if known.is_some_and(|known| !is_later(update, &known.status)) {
+            return None;
+        }
+        let (stamp, id) =
+            self.addresses.get(&backend.address).filter(|(_, id)| *id != backend.id)?;
+        if stamp.incarnation > backend.stamp.incarnation {
+            return Some(StatusUpdate::Gone(update.key(), backend.stamp));
+        }
+        let key = StatusKey::Backend(id.clone());
+        match &self.known.get(&key)?.status {
+            // Otherwise it has moved to another address.
+            StatusUpdate::Backend(owner) if owner.address == backend.address => {
+                Some(StatusUpdate::Gone(key, owner.stamp))
+            }
+            _ => None,
+        }
+    }
+
     /// Marks members as gone that have not reported within their timeout; returns these updates.
     pub fn expire(
         &mut self,
@@ -181,33 +213,14 @@
             self.known.remove(&StatusKey::Limit(backend));
         }
     }
-
-    /// Assigns the address to `backend`, unless a later incarnation with another id has it.
-    fn claim_address(&mut self, backend: &BackendStatus, now: Duration) -> bool {
-        match self.addresses.get(&backend.address) {
-            Some((_, id)) if *id == backend.id => {}
-            Some((stamp, _)) if stamp.incarnation > backend.stamp.incarnation => return false,
-            Some((stamp, id)) => {
-                // The previous owner of the address crashed without deregistering.
-                let key = StatusKey::Backend(id.clone());
-                let status = StatusUpdate::Gone(key.clone(), *stamp);
-                self.known.insert(key, KnownStatus { status, last_seen: now, changed: now });
-            }
-            None => {}
-        }
-        self.addresses.insert(backend.address, (backend.stamp, backend.id.clone()));
-        true
-    }
 }
 
 /// Returns whether `new` supersedes `old`, which has the same key.
+///
+/// Updates are ordered by their stamps, and a departure comes after the report with its stamp. An
+/// expiry has the stamp of the last report, so the next report undoes it. A departure has
+/// [`StatusStamp::end`], so only a later incarnation comes after it.
 fn is_later(new: &StatusUpdate, old: &StatusUpdate) -> bool {
-    match (new, old) {
-        // A departure with `u64::MAX` as `seq` ends its incarnation; one by expiry is undone by the
-        // next report.
-        (StatusUpdate::Gone(_, stamp), _) => {
-            *stamp >= old.stamp() && !matches!(old, StatusUpdate::Gone(..))
-        }
-        (_, old) => new.stamp() > old.stamp(),
-    }
+    let rank = |update: &StatusUpdate| (update.stamp(), matches!(update, StatusUpdate::Gone(..)));
+    rank(new) > rank(old)
 }
--- a/crates/egret_fleet/src/status.rs
+++ b/crates/egret_fleet/src/status.rs
@@ -30,6 +30,14 @@
     pub seq: u64,
 }
 
+impl StatusStamp {
+    /// Returns the stamp of the departure of an incarnation, which is later than all its reports.
+    #[must_use]
+    pub const fn end(incarnation: u64) -> Self {
+        Self { incarnation, seq: u64::MAX }
+    }
+}
+
 /// Weights that a model engine has loaded.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadedModel {
@@ -184,7 +192,8 @@
     Backend(BackendStatus),
     /// A process reported its status.
     Process(ProcessStatus),
-    /// It is gone as of this stamp.
+    /// It is gone as of this stamp: that of its last report if it has expired, else
+    /// [`StatusStamp::end`].
     Gone(StatusKey, StatusStamp),
     /// The leader announced the rate limit of a backend server.
     Limit(BackendLimit),
--- a/crates/egret_fleet/tests/status_updates.rs
+++ b/crates/egret_fleet/tests/status_updates.rs
@@ -148,3 +148,48 @@
     fleet.expire(Duration::from_secs(15), Duration::from_secs(4), NOW);
     assert_eq!(rate(&fleet), [], "a late announcement about a backend server that is gone");
 }
+
+// Guards against a departure that is forgotten since the backend server had expired before.
+#[test]
+fn departure_after_expiry_ends_the_incarnation() {
+    let mut fleet = Fleet::default();
+    let limit = Duration::from_secs(5);
+    fleet.observe(&StatusUpdate::Backend(backend("a", 1, 5, 3)), NOW);
+    assert_eq!(fleet.expire(limit, limit, NOW + limit * 2).len(), 1);
+    assert_eq!(fleet.observe(&gone("a", 5, u64::MAX), NOW + limit * 2), UpdateKind::Change);
+    let late = StatusUpdate::Backend(backend("a", 1, 5, 4));
+    assert_eq!(fleet.observe(&late, NOW + limit * 2), UpdateKind::Stale);
+    assert_eq!(fleet.backends().count(), 0);
+    // An expiry that another instance saw before does not undo the departure.
+    assert_eq!(fleet.observe(&gone("a", 5, 3), NOW + limit * 2), UpdateKind::Stale);
+    assert_eq!(fleet.observe(&late, NOW + limit * 2), UpdateKind::Stale);
+}
+
+// Guards against a departure that is forgotten since an earlier incarnation had departed.
+#[test]
+fn departure_ends_an_incarnation_that_was_never_seen() {
+    let mut fleet = Fleet::default();
+    assert_eq!(fleet.observe(&gone("a", 5, u64::MAX), NOW), UpdateKind::Change);
+    assert_eq!(fleet.observe(&gone("a", 6, u64::MAX), NOW), UpdateKind::Change);
+    let late = StatusUpdate::Backend(backend("a", 1, 6, 4));
+    assert_eq!(fleet.observe(&late, NOW), UpdateKind::Stale);
+    assert_eq!(fleet.backends().count(), 0);
+}
+
+// Guards against the claim of an address that replaces what is known of its former owner.
+#[test]
+fn claim_of_an_address_undoes_nothing_of_its_former_owner() {
+    let mut fleet = Fleet::default();
+    fleet.observe(&StatusUpdate::Backend(backend("a", 1, 5, 3)), NOW);
+    fleet.observe(&gone("a", 5, u64::MAX), NOW);
+    fleet.observe(&StatusUpdate::Backend(backend("b", 1, 6, 1)), NOW);
+    let late = StatusUpdate::Backend(backend("a", 2, 5, 4));
+    assert_eq!(fleet.observe(&late, NOW), UpdateKind::Stale, "its departure holds");
+    // A later incarnation of the former owner that runs elsewhere stays.
+    fleet.observe(&StatusUpdate::Backend(backend("c", 3, 5, 3)), NOW);
+    fleet.observe(&StatusUpdate::Backend(backend("c", 4, 7, 1)), NOW);
+    fleet.observe(&StatusUpdate::Backend(backend("d", 3, 8, 1)), NOW);
+    let mut ids: Vec<_> = fleet.backends().map(|(backend, _)| backend.id.clone()).collect();
+    ids.sort();
+    assert_eq!(ids, ["b", "c", "d"]);
+}
--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -453,8 +453,21 @@
         /// Shortest time between two updates of the same subject that reach the feed without a
         /// change.
         const REFRESH_PERIOD: Duration = Duration::from_millis(2_000);
-        let urgent = match self.fleet.observe(update, now) {
-            UpdateKind::Stale => return false,
+        let departure = self.fleet.implied_departure(update);
+        let departs = departure.as_ref().is_some_and(|departure| {
+            let known = self.fleet.get(&departure.key()).map(|known| &known.status);
+            !matches!(known, Some(StatusUpdate::Gone(..)))
+        });
+        if let Some(departure) = departure.as_ref().filter(|_| departs) {
+            log_update(departure);
+        }
+        let kind = self.fleet.observe(update, now);
+        if let Some(departure) = departure {
+            // A follower may never be sent the reports from which it follows.
+            self.feed.push(departure, departs);
+        }
+        let urgent = match kind {
+            UpdateKind::Stale => return departs,
             UpdateKind::Change => {
                 log_update(update);
                 true
