Let a request that gives way take nothing of a backend server

Cause: a request that arrives late gives way to those that can be on time, but this was decided after a slot had been taken for it. The slot was dropped, which gives back the place, the permit of a rate limit and the probe of the circuit breaker, but not the turn of the cold backend server: each late request delayed the next one by another interval.

Now SlotQueue::try_acquire decides before anything is taken. Whether there is no backend server, or all have asked for a pause, is found out as before, so refusals are the same.

Evidence: late_requests_that_give_way_use_no_permit_of_a_cold_backend sends 24 requests on time to a backend server that takes 4 a second, while 100 callers send late ones.

--- a/crates/egret_gateway/src/slots.rs
+++ b/crates/egret_gateway/src/slots.rs
@@ -159,10 +159,8 @@
     ) -> Result<Slot, Refusal> {
         let now = gateway.now();
         let has_waiters = !self.waiting.borrow().is_empty();
-        let yields = self.must_yield(&wanted, now);
         let no_slot = match self.try_acquire(gateway, &wanted, true) {
-            Ok(slot) if !yields => return Ok(slot),
-            Ok(_) => NoSlot::Room,
+            Ok(slot) => return Ok(slot),
             Err(no_slot) => no_slot,
         };
         if let NoSlot::Held(until) = no_slot
@@ -238,6 +236,10 @@
         let spacing = ColdRateLimit::spacing(spec.cold_per_s, gateway.peak_entries());
         let available: Vec<_> =
             eligible.into_iter().filter(|backend| is_available(backend, spacing, now)).collect();
+        if self.must_yield(wanted, now) {
+            // Decided before anything is taken that another request could use.
+            return Err(held_until(&offered, &[], now).map_or(NoSlot::Room, NoSlot::Held));
+        }
         let mut loads = estimate_loads(gateway, &available, &spec);
         let mut denied = Vec::new();
         let (backend, permit) = loop {
