Give back the turn of a cold backend server if nothing was sent

Cause: a slot that is dropped unsent gives back its place, its permit and its probe, but not the turn that ColdRateLimit granted. Now it does: the next request may go at once, unless a later one has taken a turn since.

Evidence: unused_turn_of_a_cold_backend_goes_to_the_next_request failed with a release that does nothing ("nothing was sent") and passes now; the tests of the rate of cold backend servers pass as before. That a caller leaves in just this moment was not produced with real processes.

--- a/crates/egret_gateway/src/slot.rs
+++ b/crates/egret_gateway/src/slot.rs
@@ -50,6 +50,7 @@
             let status = self.backend.status.borrow();
             let incarnation = status.stamp.incarnation;
             self.permits.borrow_mut().release(&status.id, incarnation, permit, self.acquired);
+            self.backend.cold_limit.borrow_mut().release(self.acquired);
         }
         let in_flight = &self.backend.in_flight;
         in_flight.set(in_flight.get().saturating_sub(1));
--- a/crates/egret_route/src/cold.rs
+++ b/crates/egret_route/src/cold.rs
@@ -82,4 +82,10 @@
         }
         true
     }
+    /// Takes back the right that was acquired at `acquired`, for a request that was not sent.
+    pub fn release(&mut self, acquired: Duration) {
+        if self.wait_start == acquired {
+            self.wait_factor = 0.0;
+        }
+    }
 }
--- a/crates/egret_route/tests/routing.rs
+++ b/crates/egret_route/tests/routing.rs
@@ -174,3 +174,23 @@
         assert!(max as f64 <= COLD_PER_S_MAX, "seed {seed}: {max} in one second");
     }
 }
+
+// Guards against the turn of a cold backend server that is lost with a caller that leaves before
+// its request is sent.
+#[test]
+fn unused_turn_of_a_cold_backend_goes_to_the_next_request() {
+    let mut limit = ColdRateLimit::default();
+    let spacing = ColdRateLimit::spacing(COLD_PER_S, 10);
+    let now = Duration::from_secs(1);
+    limit.mark_cold(now + Duration::from_secs(60), 0.0, now);
+    assert!(limit.acquire(spacing, now));
+    let left = now + Duration::from_millis(5);
+    limit.release(now);
+    assert!(limit.acquire(spacing, left), "nothing was sent");
+    assert!(!limit.acquire(spacing, left), "but this was");
+    // A turn whose interval is over gives back nothing of later ones.
+    let next = left + spacing;
+    assert!(limit.acquire(spacing, next));
+    limit.release(left);
+    assert!(!limit.acquire(spacing, next));
+}
