List entries of data centres that are out after all others

Now entries of data centres that are out come last, each group in random order. If all are out, they are listed as before: they are ready and serve with backend servers elsewhere, so leaving them out would be untrue. A caller that draws any address of the list is not affected.

Evidence: entries_of_an_evacuated_data_centre_are_listed_last failed before ("not within 20s: the other is first") and passes now, with all 18 tests of end_to_end.

--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -179,7 +179,8 @@
     /// Lists entries for a caller of `host` in `region`, in random order so that callers spread.
     ///
     /// Entries of other regions are listed only if the caller's region has none, and only those in
-    /// which a route of the host may be served.
+    /// which a route of the host may be served. Entries of data centres that are out come last: they
+    /// still serve, with backend servers elsewhere.
     pub fn entries(&self, host: &str, region: &str) -> Vec<SocketAddr> {
         let tables = self.tables();
         let regions = tables.index.routes_of(host).iter().flat_map(|route| &route.regions);
@@ -190,15 +191,16 @@
         for entry in fleet.entries().filter(|entry| !entry.leaving) {
             let own = self.region_of(&entry.data_centre);
             if own == Some(region) {
-                near.push(entry.address);
+                near.push((entry.address, tables.is_out(&entry.data_centre)));
             } else if regions.is_empty() || own.is_some_and(|own| regions.contains(own)) {
-                rest.push(entry.address);
+                rest.push((entry.address, tables.is_out(&entry.data_centre)));
             }
         }
         let mut found = if near.is_empty() { rest } else { near };
         found.shuffle(&mut *self.random());
+        found.sort_by_key(|(_, is_out)| *is_out);
         found.truncate(ENTRIES_LISTED_MAX);
-        found
+        found.into_iter().map(|(address, _)| address).collect()
     }
 
     pub(crate) fn now(&self) -> Duration {
