--- a/crates/egret_gateway/src/slots.rs
+++ b/crates/egret_gateway/src/slots.rs
@@ -326,8 +326,8 @@
     const FAR_MIN: usize = 3;
     let (mut chosen, mut far): (Vec<_>, Vec<_>) =
         eligible.into_iter().partition(|backend| distance_to(gateway, backend) == Distance::Near);
-    let slots: u32 = far.iter().map(|backend| backend.status.borrow().slots).sum();
-    let share = slots.div_ceil(gateway.entry_count() * 2);
+    let slots: u64 = far.iter().map(|backend| u64::from(backend.status.borrow().slots)).sum();
+    let share = slots.div_ceil(u64::from(gateway.entry_count()) * 2);
     let share = usize::try_from(share).unwrap_or(usize::MAX).max(FAR_MIN);
     if far.len() > share {
         far.sort_by_cached_key(|backend| gateway.affinity(&backend.status.borrow().id));
