Refuse reports of undeclared services that would replace a backend server

A status report may come from another writer and name a service that does not exist. It names no backend server to use, but under the id of a sound one, or with its address and a later start, it took that one's place.

A control instance now refuses a report for a service that the catalog in force does not declare if it would take over the id or the address of a known backend server of a declared service. Until a catalog is in force nothing is refused for its service.

--- a/crates/egret_control/src/local_control.rs
+++ b/crates/egret_control/src/local_control.rs
@@ -6,7 +6,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use egret_fleet::{StatusKey, StatusStamp, StatusUpdate};
+use egret_fleet::{BackendStatus, StatusKey, StatusStamp, StatusUpdate};
 use egret_record::CatalogVersion;
 use egret_rpc::{Command, Reply, Request};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -126,6 +126,22 @@
         }
     }
 
+    /// Returns whether a status would replace a backend server of a declared service by one of a
+    /// service that the catalog does not declare.
+    ///
+    /// The status would take over the id or the address of that backend server.
+    #[must_use]
+    pub fn replaces_declared(&self, status: &BackendStatus) -> bool {
+        let Some(running) = self.server.running() else { return false };
+        let core = running.core.borrow();
+        let Some(catalog) = &core.state.view.catalog else { return false };
+        let is_declared = |backend: &BackendStatus| catalog.services.contains_key(&backend.service);
+        !is_declared(status)
+            && core.fleet.fleet.backends().any(|(known, _)| {
+                (known.id == status.id || known.address == status.address) && is_declared(known)
+            })
+    }
+
     /// Records that a backend server has shut down for good.
     ///
     /// # Errors
