Keep a very low rate of cold backend servers a limit

A rate below about 1e-17 a second gave a spacing that does not fit into a duration, which counted as no spacing: a cold backend server would have been sent everything. A spacing just below that bound would overflow when it is added to the time. The spacing is at most an hour now, which is also the longest time for which a report may call a backend server cold. A rate of zero or less is still no limit.

--- a/crates/egret_route/src/cold.rs
+++ b/crates/egret_route/src/cold.rs
@@ -55,8 +55,13 @@
     /// `per_s` is the rate limit of all `entries` together; 0.0 is no limit.
     #[must_use]
     pub fn spacing(per_s: f64, entries: u32) -> Duration {
+        /// Longest time between two requests; no backend server is cold for longer.
+        const SPACING_MAX: Duration = Duration::from_secs(3_600);
+        if per_s <= 0.0 {
+            return Duration::ZERO;
+        }
         let seconds = f64::from(entries.max(1)) / per_s;
-        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+        Duration::from_secs_f64(seconds.min(SPACING_MAX.as_secs_f64()))
     }
 
     /// Returns whether the backend server is cold at `now`.
