Free an address once its last owner is forgotten

A backend server with an earlier start than the last known owner of its address was refused there for good, also when that owner had been gone for long: by a machine clock that was ahead, or a report of another writer with a plausible late start. Its reports were acknowledged and used by nobody.

The owner keeps the address while it is known or remembered as gone (120 s), so late reports of earlier incarnations are ignored as before.

--- a/crates/egret_fleet/src/fleet.rs
+++ b/crates/egret_fleet/src/fleet.rs
@@ -182,11 +182,23 @@
         }
     }
 
+    /// Returns whether a backend server has been gone for as long as departures are remembered.
+    fn is_forgotten(&self, id: &str, now: Duration) -> bool {
+        self.known.get(&StatusKey::Backend(id.to_owned())).is_none_or(|known| {
+            matches!(known.status, StatusUpdate::Gone(..))
+                && now >= known.last_seen + GONE_RETENTION
+        })
+    }
+
     /// Assigns the address to `backend`, unless a later incarnation with another id has it.
     fn claim_address(&mut self, backend: &BackendStatus, now: Duration) -> bool {
         match self.addresses.get(&backend.address) {
             Some((_, id)) if *id == backend.id => {}
-            Some((stamp, _)) if stamp.incarnation > backend.stamp.incarnation => return false,
+            Some((stamp, id))
+                if stamp.incarnation > backend.stamp.incarnation && !self.is_forgotten(id, now) =>
+            {
+                return false;
+            }
             Some((stamp, id)) => {
                 // The previous owner of the address crashed without deregistering.
                 let key = StatusKey::Backend(id.clone());
