--- a/crates/egret_fleet/src/fleet.rs
+++ b/crates/egret_fleet/src/fleet.rs
@@ -50,7 +50,7 @@
         if earlier.is_some_and(|known| !is_later(update, &known.status)) {
             return UpdateKind::Stale;
         }
-        if let Some(status) = self.implied_departure(update) {
+        if let Some(status) = self.implied_departure(update, now) {
             let departed = status.key();
             let known = KnownStatus { status, last_seen: now, changed: now };
             self.known.insert(departed.clone(), known);
@@ -76,7 +76,7 @@
     /// Of two backend servers that report the same address, the earlier incarnation has crashed
     /// without deregistering. [`observe`](Self::observe) stores its departure.
     #[must_use]
-    pub fn implied_departure(&self, update: &StatusUpdate) -> Option<StatusUpdate> {
+    pub fn implied_departure(&self, update: &StatusUpdate, now: Duration) -> Option<StatusUpdate> {
         let StatusUpdate::Backend(backend) = update else { return None };
         let known = self.known.get(&update.key());
         if known.is_some_and(|known| !is_later(update, &known.status)) {
@@ -84,7 +84,7 @@
         }
         let (stamp, id) =
             self.addresses.get(&backend.address).filter(|(_, id)| *id != backend.id)?;
-        if stamp.incarnation > backend.stamp.incarnation {
+        if stamp.incarnation > backend.stamp.incarnation && !self.is_forgotten(id, now) {
             return Some(StatusUpdate::Gone(update.key(), backend.stamp));
         }
         let key = StatusKey::Backend(id.clone());
@@ -213,6 +213,14 @@
             self.known.remove(&StatusKey::Limit(backend));
         }
     }
+
+    /// Returns whether a backend server has been gone for as long as departures are remembered.
+    fn is_forgotten(&self, id: &str, now: Duration) -> bool {
+        self.known.get(&StatusKey::Backend(id.to_owned())).is_none_or(|known| {
+            matches!(known.status, StatusUpdate::Gone(..))
+                && now >= known.last_seen + GONE_RETENTION
+        })
+    }
 }
 
 /// Returns whether `new` supersedes `old`, which has the same key.
--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -453,7 +453,7 @@
         /// Shortest time between two updates of the same subject that reach the feed without a
         /// change.
         const REFRESH_PERIOD: Duration = Duration::from_millis(2_000);
-        let departure = self.fleet.implied_departure(update);
+        let departure = self.fleet.implied_departure(update, now);
         let departs = departure.as_ref().is_some_and(|departure| {
             let known = self.fleet.get(&departure.key()).map(|known| &known.status);
             !matches!(known, Some(StatusUpdate::Gone(..)))
