Take a refusal as proof only if it names the request

A backend server that writes an earlier refusal once more, without a request id, where the response to another request is due made the entry conclude "not run" for a request that the server was running. Callers were told 503, on all routes; a request that may run only once was sent to a second server and ran there as well; idempotent requests and resumed streams ran at more servers than their route allows, because such attempts were not counted.

Cause: a response that named another request was discarded as crossed, but one that named none was believed if it said X-Not-Run or had status 421. Backend servers echo the id of the request in their responses, and the entry always sends one, so a response without it proves nothing about the request. It is now treated like one that names another request: the request may have run.

Ruled out: - Copies that name another request, in place of an answer, after an interim response, in one piece with the answer or the refusal before, or on an idle connection: passed before as well. - A copy with the id of the very request: a connection is closed after a refusal, a backend server that was tried is not tried again for the same request, and each attempt of a caller has its own id. The test checks that no server gets an id twice. - Requests that may run once on a kept connection: the test checks that they never are. A connection of their own did not protect them from a copy without an id.

Idempotent requests are still sent on kept connections; the test requires it.

--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -138,7 +138,9 @@
     let (head, body) = response.into_parts();
     let meta = gateway.protocol.backend_head(&head);
     gateway.record_back_off(backend, &meta);
-    if meta.request.as_deref().is_some_and(|request| request != job.call.id) {
+    // Only a response that names the request is proof of what became of it: any other may be a late
+    // copy of a response to an earlier one.
+    if meta.request.as_deref() != Some(&job.call.id) {
         outcome("crossed", &format_args!("other={:?}", meta.request));
         backend.breaker.borrow_mut().record_failure(Failure::BadResponse, gateway.now());
         return Outcome::Broken;
@@ -158,8 +160,7 @@
         }
         return Outcome::NotRun;
     }
-    let usable = meta.signed && meta.request.is_some();
-    if !usable || implies_not_run(head.status) {
+    if !meta.signed || implies_not_run(head.status) {
         outcome("unusable", &format_args!("status={} signed={}", head.status, meta.signed));
         backend.breaker.borrow_mut().record_failure(Failure::BadResponse, gateway.now());
         return Outcome::Broken;
--- a/crates/egret_gateway/src/protocol.rs
+++ b/crates/egret_gateway/src/protocol.rs
@@ -55,7 +55,7 @@
 /// The head of a backend server's response, decoded.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct BackendHead {
-    /// The id of the request that it answers.
+    /// The id of the request that it answers; without it, it may be a late copy.
     pub request: Option<String>,
     /// Whether it has the signature of a backend server.
     pub signed: bool,
