Say "not run" only if that holds for all attempts of a call

An entry whose attempt at one backend server broke, and which then found no other one or was refused there, told the caller of an idempotent call that it did not run (429, "all backend servers of the record refused", ran=not_run), although the first server ran it. Callers take that as a guarantee.

Cause: the result of a call was that of its last attempt, or of the lack of another server, without regard to the attempts before. The entry now remembers whether an attempt may have run, and corrects a refusal that says otherwise to 502, ran=unknown. Its Retry-After stays.

Ruled out: calls that may run only once, and calls that may not be repeated. They end with the first attempt that may have run.

Evidence: the new test lets the only engine answer with the id of another request.

--- a/crates/egret_bench/tests/promises.rs
+++ b/crates/egret_bench/tests/promises.rs
@@ -94,6 +94,20 @@
     deployment.wait_for_log("runner-1", TIMEOUT, crossed).await.unwrap();
 }
 
+// Guards against callers who are told "not run" although an earlier attempt ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_attempt_without_another_server_is_not_called_not_run() {
+    let deployment = start_small().await;
+    inject_fault(&deployment, "crossed").await;
+    let before = deployment.stats(deployment.backends["runner-1"]).await["started"].as_u64();
+    let response = chat(entry(&deployment), false).await;
+    let after = deployment.stats(deployment.backends["runner-1"]).await["started"].as_u64();
+    assert!(after > before, "the engine ran it");
+    let refusal = Refusal::parse(&response.body).expect("no other engine can answer");
+    assert_eq!(refusal.ran, Ran::Unknown, "{response:?}");
+    assert_eq!(response.status.as_u16(), 502, "{response:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn truncated_stream_ends_with_an_error_event() {
     let deployment = start_small().await;
--- a/crates/egret_entry/src/dispatch.rs
+++ b/crates/egret_entry/src/dispatch.rs
@@ -175,7 +175,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the [`Refusal`] of the last attempt.
+    /// Returns the [`Refusal`] of the last attempt; it says "not run" only if that holds for all.
     pub(crate) async fn run(
         self: &Arc<Self>,
         call: &Call,
@@ -186,12 +186,13 @@
         let client =
             if matches!(call.retry, RetryPolicy::Once(_)) { &self.unpooled } else { &self.pooled };
         let mut attempts = 0;
+        let mut ran = Ran::NotRun;
         loop {
             attempts += 1;
             let view = self.view.get();
             let candidates = self.candidates(&view, call, &excluded);
             let Some(candidate) = self.choose(&candidates) else {
-                return Err(self.no_candidate(&view, call, &excluded));
+                return Err(self.no_candidate(&view, call, &excluded).after_attempts(ran));
             };
             let in_flight = self.start_at(&candidate.name);
             let Attempt { result, load } = forward(client, call, candidate.address, deadline).await;
@@ -204,10 +205,14 @@
                 Err(refusal) => refusal,
             };
             self.back_off(&candidate.name, &refusal);
+            if refusal.ran == Ran::Unknown {
+                ran = Ran::Unknown;
+            }
             excluded.insert(candidate.name.clone());
             let safe = refusal.ran == Ran::NotRun || call.retry == RetryPolicy::Idempotent;
             let in_time = Instant::now() < deadline && refusal.code != Code::DeadlinePassed;
             if !safe || !in_time || attempts == ATTEMPTS_MAX || !self.balancer().budget.withdraw() {
+                let refusal = refusal.after_attempts(ran);
                 log::info!(
                     "event=request_failed request={} attempts={attempts} {refusal}",
                     call.id
--- a/crates/egret_route/src/refusal.rs
+++ b/crates/egret_route/src/refusal.rs
@@ -109,6 +109,15 @@
         self
     }
 
+    /// Corrects a refusal that says "not run" if an earlier attempt may have run, by `ran`.
+    #[must_use]
+    pub fn after_attempts(self, ran: Ran) -> Self {
+        if ran == Ran::NotRun || self.ran == Ran::Unknown {
+            return self;
+        }
+        Self { code: Code::BrokenAnswer, ran, ..self }
+    }
+
     /// Returns the value of `Retry-After`, in whole seconds, at least one.
     #[must_use]
     pub fn retry_seconds(&self) -> Option<u64> {
