Let agents name the request in their refusals

An entry believed any refusal that came on a connection to an agent, without looking at which request it answers. A late copy of an agent's refusal would have told the caller of another request "not run", and have sent a call that may not be repeated to a second backend server, while the first one runs it.

Our agents write no such copies, so no caller has seen this; but the entry already checked all other answers of agents, and these are the ones on which "not run" and the release of an idempotency key rest. Agents now name the request in refusals as they do in answers, and the entry takes a refusal that does not name its request as no proof of anything (502, ran=unknown).

Ruled out: a copy that names the very request. The entry draws a new id for each call and sends a call to no agent twice.

While entries are newer than agents, refusals by the older agents count as "may have run" and are not retried unless the call may be repeated; agents should be updated first.

Evidence: the new test puts a server at the address of an agent that was killed, which takes a request and answers by a refusal of no request, or of another one.

--- a/crates/egret_agent/src/proxy.rs
+++ b/crates/egret_agent/src/proxy.rs
@@ -57,11 +57,16 @@
     }
 
     async fn handle(self, req: viz::Request) -> viz::Result<viz::Response> {
+        let id = req.headers().get(headers::REQUEST_ID).cloned();
         let mut response = match self.serve(req).await {
             Ok(response) => response,
             Err(refusal) => {
                 metrics::counter!("egret_agent_refusals_total").increment(1);
-                refuse(&refusal)
+                let mut response = refuse(&refusal);
+                if let Some(id) = id {
+                    response.headers_mut().insert(headers::REQUEST_ID, id);
+                }
+                response
             }
         };
         let load = {
--- a/crates/egret_bench/src/deployment.rs
+++ b/crates/egret_bench/src/deployment.rs
@@ -85,6 +85,8 @@
     processes: BTreeMap<String, ChildProcess>,
     /// The addresses of the entries, by name.
     pub entries: BTreeMap<String, SocketAddr>,
+    /// The addresses at which the agents receive requests, behind their forwarders, by name.
+    pub agents: BTreeMap<String, SocketAddr>,
     /// The addresses of the engines and services, by the name of their agent.
     pub backends: BTreeMap<String, SocketAddr>,
     /// The address of the origin.
@@ -126,6 +128,7 @@
             binary_folder: binary_folder()?,
             processes: BTreeMap::new(),
             entries: BTreeMap::new(),
+            agents: BTreeMap::new(),
             backends: BTreeMap::new(),
             origin: dedicated_address(&network, "origin", "origin"),
             controls: BTreeMap::new(),
@@ -463,6 +466,7 @@
         };
         let (own, announced) = self.network.add_instance(&instance.name, &instance.data_centre);
         let [listen, peer_listen] = draw_addresses(own);
+        self.agents.insert(instance.name.clone(), listen);
         let advertise = self.network.forward(announced, listen)?;
         let peer_advertise = self.network.forward(announced, peer_listen)?;
         let settings = format!(
--- a/crates/egret_bench/tests/promises.rs
+++ b/crates/egret_bench/tests/promises.rs
@@ -1,6 +1,13 @@
 //! Guarantees towards callers, each under the failure that could break it.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use egret_bench::{
     FullResponse,
@@ -11,11 +18,14 @@
     send_request,
 };
 use egret_http::{HttpClient, headers};
-use egret_route::{Ran, Refusal};
+use egret_route::{Code, Ran, Refusal};
 use http::Method;
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    time::{Instant, sleep},
+};
 
 /// Timeout of one request, and of the deployment until it reaches a state.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -108,6 +118,48 @@
     assert_eq!(response.status.as_u16(), 502, "{response:?}");
 }
 
+// Guards against a late copy of an agent's refusal that is taken for the answer to a request that
+// runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_that_does_not_name_the_request_is_no_proof() {
+    for name in ["", "x-request-id: another\r\n"] {
+        let mut deployment = start_small().await;
+        let agent = deployment.agents["runner-1"];
+        deployment.kill("runner-1");
+        // Until the lease of the agent ends, the entry sends requests to its address.
+        let listener = tokio::net::TcpListener::bind(agent).await.expect("the agent is gone");
+        let runs = Arc::new(AtomicBool::new(false));
+        let copies = tokio::spawn(run_and_refuse(listener, name, runs.clone()));
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let response = chat(entry(&deployment), false).await;
+            let refusal = Refusal::parse(&response.body).expect("nobody answers");
+            // The kept connections to the agent break first.
+            if runs.load(Ordering::SeqCst) {
+                assert_eq!(refusal.ran, Ran::Unknown, "{name:?}: {response:?}");
+                break;
+            }
+            assert!(!copies.is_finished(), "the connection broke");
+            assert!(Instant::now() < deadline, "the entry sent nothing");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Runs the first request at a listener, but answers it by a refusal with the header `name`.
+async fn run_and_refuse(listener: tokio::net::TcpListener, name: &str, runs: Arc<AtomicBool>) {
+    let body = Refusal::not_run(Code::Overloaded, "an earlier refusal").body();
+    let body = String::from_utf8(body).expect("JSON");
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut request = [0; 4_096];
+    let read = stream.read(&mut request).await.expect("a request");
+    assert!(read > 0, "a request");
+    runs.store(true, Ordering::SeqCst);
+    let head = format!("{}: 1\r\n{name}content-length: {}", headers::REFUSED, body.len());
+    let response = format!("HTTP/1.1 429 Too Many Requests\r\n{head}\r\n\r\n{body}");
+    stream.write_all(response.as_bytes()).await.expect("the entry reads");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn truncated_stream_ends_with_an_error_event() {
     let deployment = start_small().await;
--- a/crates/egret_entry/src/forward.rs
+++ b/crates/egret_entry/src/forward.rs
@@ -85,7 +85,8 @@
     let refused = head.headers.contains_key(headers::REFUSED);
     let same_request =
         head.headers.get(headers::REQUEST_ID).is_some_and(|id| id.as_bytes() == call.id.as_bytes());
-    if !refused && !same_request {
+    // A refusal is proof only for the request that it names: another may be a late copy.
+    if !same_request {
         log::error!("event=answer_crossed request={}", call.id);
         let message = "the answer belongs to another request";
         return Err(Refusal::unknown(Code::BrokenAnswer, message));
