Pass on nothing but events in event streams

A caller found foreign text in its stream: the head of an error response ("HTTP/1.1 500 Internal Server Error", "Content-Type: text/plain", ...), an error page, or an error event, after the events of the server that had broken off, or in the middle of one ("id: 5\ndata: piHTTP/1.1 500 ..."). In many cases the stream then ended as if it were complete.

An HTTP head ends with an empty line, too. So another answer that follows on a connection without framing, or inside the chunks, became an event; if it followed a torn event, it took that event's id.

Now an event must have exactly one id and consist of fields: the standard ones, and those that the protocol names (events at which the weights change name their version). An event that ends like an HTTP head, with CRLF, though its other lines end with LF, has been joined with one. Anything else breaks the stream as `Foreign`: the events before it are passed on, and another server resumes or the caller's connection breaks off.

Ruled out: that error responses by themselves (500, 404, 429, 503, with or without the not-run mark, 302, unsigned ones, ones of another request, heads cut in the middle, bytes that are not HTTP) get into a stream, that events come with a gap or twice, and that a torn event is passed on. The test plays these after each way of breaking off and found none before or after.

A server that ends its answer properly in the middle of the stream, between two events, cannot be told from a complete one: the protocol has no end marker. The same holds for foreign text that has the form of the next event.

--- a/crates/egret_gateway/src/events.rs
+++ b/crates/egret_gateway/src/events.rs
@@ -9,6 +9,9 @@
 /// Maximum size of one event, in bytes; a stream with a larger one counts as broken.
 pub(crate) const EVENT_BYTES_MAX: usize = 256 * 1024;
 
+/// The fields of an event that the standard defines.
+const FIELDS: [&[u8]; 4] = [b"id", b"data", b"event", b"retry"];
+
 /// One complete event, with the empty line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -25,6 +28,38 @@
         let mut lines = self.bytes.split(|byte| *byte == b'\n' || *byte == b'\r');
         lines.all(|line| line.is_empty() || line.starts_with(b":"))
     }
+
+    /// Returns whether it has one id and consists of fields only.
+    ///
+    /// Another text, as the head of an error response, may follow the last event of a server or
+    /// stand in the middle of it. `is_extension` tells which other fields an event may have.
+    ///
+    /// ```
+    /// use egret_gateway::EventReader;
+    ///
+    /// let mut reader = EventReader::default();
+    /// reader.push(b"id: 7\ndata: a\n\nid: 8\nda");
+    /// reader.push(b"HTTP/1.1 500 Internal Server Error\r\n\r\n");
+    /// assert!(reader.next().unwrap().is_valid(|_| false));
+    /// assert!(!reader.next().unwrap().is_valid(|_| false));
+    /// ```
+    #[must_use]
+    pub fn is_valid(&self, is_extension: impl Fn(&[u8]) -> bool) -> bool {
+        let line_end = if self.bytes.ends_with(b"\r\n\r\n") { b"\r\n".as_slice() } else { b"\n" };
+        let mut ids = 0;
+        for line in self.bytes.split_inclusive(|byte| *byte == b'\n') {
+            let Some(line) = line.strip_suffix(line_end) else { return false };
+            let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+            if name == b"id" {
+                ids += 1;
+            }
+            // A line that begins with a colon is a comment.
+            if !name.is_empty() && !FIELDS.contains(&name) && !is_extension(name) {
+                return false;
+            }
+        }
+        ids == 1 && self.id.is_some()
+    }
 }
 
 /// Splits a byte stream into complete events.
--- a/crates/egret_gateway/src/protocol.rs
+++ b/crates/egret_gateway/src/protocol.rs
@@ -98,6 +98,9 @@
     /// Decodes the head of a backend server's response.
     fn backend_head(&self, head: &response::Parts) -> BackendHead;
 
+    /// Returns whether events of backend servers may have this field besides the standard ones.
+    fn is_event_field(&self, name: &[u8]) -> bool;
+
     /// Removes the headers that only concern the connection to the backend server.
     fn caller_response(&self, head: &mut response::Parts);
 
--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -66,12 +66,14 @@
 /// Why a backend server does not continue a stream; logged as `how` under these names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Break {
-    /// The stream ended early, or its bytes are not events.
+    /// The stream ended early.
     Cut,
     /// It sent no events for too long.
     Silent,
     /// Its event ids do not follow the last one.
     Gap,
+    /// It sent something else than events.
+    Foreign,
 }
 
 impl Relay {
@@ -172,6 +174,11 @@
         }
         let mut events = BytesMut::new();
         for event in self.reader.by_ref() {
+            let is_field = |name: &[u8]| self.gateway.protocol.is_event_field(name);
+            if !event.is_comment() && !event.is_valid(is_field) {
+                self.pending_break = Some(Break::Foreign);
+                break;
+            }
             if let (Some(id), Some(last)) = (event.id, self.job.last_event) {
                 if self.resumed && id <= last {
                     continue;
