Continue streams only with a 200 whose type is an event stream

A stream had broken off, and the next server answered the resume with 202, 206 or a 200 of another type (text/plain, application/json) that was signed and bore the id of the request. Its body was appended: events that are not those of the stream, and then an end as if it were complete.

Cause: any 2xx status counted as a continuation, and the type was not looked at. The same was true of first answers: a 200 with JSON on a stream route was relayed event by event, so the caller got a closed connection instead of that answer.

Now both are asked in one place, `is_event_stream`: status 200, and no type other than text/event-stream (a server may leave the type out). Another answer to a resume counts as a run that failed; another first answer is passed on whole and unchanged, with its status and signature.

Ruled out by the test: the same with 204, 302, 304, 404 and 500 of type text/event-stream.

--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -6,8 +6,8 @@
 use egret_record::PartList;
 use egret_route::Failure;
 use http::{
-    HeaderMap,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    HeaderMap, StatusCode,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
     response,
 };
 use hyper::body::Incoming;
@@ -175,7 +175,18 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Returns whether a response is a stream of events, which may continue that of another server.
+pub(crate) fn is_event_stream(head: &response::Parts) -> bool {
+    const EVENT_STREAM: &[u8] = b"text/event-stream";
+    // Without a type, its bytes tell.
+    let is_events = head.headers.get(CONTENT_TYPE).is_none_or(|kind| {
+        let kind = kind.as_bytes().get(..EVENT_STREAM.len());
+        kind.is_some_and(|kind| kind.eq_ignore_ascii_case(EVENT_STREAM))
+    });
+    head.status == StatusCode::OK && is_events
+}
+
 /// Returns whether callers take the status as a guarantee that the request did not run.
-fn implies_not_run(status: http::StatusCode) -> bool {
+fn implies_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     ResponseAborted, ResponseBody,
-    attempt::{BackendResponse, Outcome, attempt, is_framed},
+    attempt::{BackendResponse, Outcome, attempt, is_event_stream, is_framed},
     body_reader::BodyReader,
     gateway::Gateway,
     protocol::CallerHead,
@@ -204,7 +204,7 @@
                 }
             };
             let is_stream = matches!(job.route.kind, RouteKind::Stream { .. });
-            if is_stream && response.head.status.is_success() {
+            if is_stream && is_event_stream(&response.head) {
                 slot.backend.breaker.borrow_mut().record_success();
                 return Ok(self.stream_response(job, slot, response));
             }
--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     ResponseAborted,
-    attempt::{Outcome, attempt, is_framed},
+    attempt::{Outcome, attempt, is_event_stream, is_framed},
     backend::Connection,
     events::{EVENT_BYTES_MAX, EventReader},
     exchange::Job,
@@ -325,7 +325,7 @@
         let id = slot.backend.status.borrow().id.clone();
         let head_timeout = gateway.head_timeout(&self.job);
         let response = match attempt(&gateway, &self.job, &slot, head_timeout).await {
-            Outcome::Response(response) if response.head.status.is_success() => response,
+            Outcome::Response(response) if is_event_stream(&response.head) => response,
             Outcome::Response(_) | Outcome::Broken => {
                 self.job.avoid.insert(id);
                 self.job.runs += 1;
