Do not take an answer without events for the end of a resumed stream

A stream had broken off, and the next server answered the resume with a signed 200 that held no event: no body, an empty one, or comments only. The caller's stream ended as if it were complete, with events missing.

Cause: a body with a length or chunks that ended counted as the end of the stream, also when it had added nothing. Only bodies without a length were looked at.

Now an answer to a resume that ends before its first event breaks as a gap: another server is asked if attempts are left, otherwise the caller's connection breaks off. A stream that broke after its last event but before its end can no longer be completed by an empty answer; its caller sees a break and may resume, and then an empty first answer is passed on as complete. That is preferred, since the protocol has no end marker that would tell the two apart.

--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -56,7 +56,8 @@
     answer_recorded: bool,
     /// Whether the body has a length or chunks, so that its end shows that it is complete.
     is_framed: bool,
-    /// Whether the next event is the first of a backend server that resumes the stream.
+    /// Whether the next event, comments aside, is the first of a backend server that resumes the
+    /// stream.
     resumed: bool,
     /// Set while complete events before the break are still to be forwarded.
     pending_break: Option<Break>,
@@ -70,7 +71,7 @@
     Cut,
     /// It sent no events for too long.
     Silent,
-    /// Its event ids do not follow the last one.
+    /// Its events do not follow the last one.
     Gap,
     /// It sent something else than events.
     Foreign,
@@ -188,8 +189,9 @@
                     break;
                 }
             }
-            self.has_content |= event.id.is_some() || !event.is_comment();
-            self.resumed = false;
+            let is_comment = event.is_comment();
+            self.has_content |= !is_comment;
+            self.resumed &= is_comment;
             self.job.last_event = event.id.or(self.job.last_event);
             events.extend_from_slice(&event.bytes);
         }
@@ -229,6 +231,8 @@
             Ok(None) if self.reader.is_partial() => Err(Break::Cut),
             // Without an event, nothing shows that it is more than the end of the server.
             Ok(None) if !self.is_framed && self.began.is_none() => Err(Break::Cut),
+            // Only the events before the break came; nothing shows that they were all.
+            Ok(None) if self.resumed => Err(Break::Gap),
             Ok(None) => {
                 self.ended = true;
                 match self.began {
