Treat a successful answer with a content encoding as unusable

Callers ask for bodies without any encoding, so a body with a Content-Encoding is not the one that the backend server signed. A 200 with one was passed on as a success, with the signature, and appended to the stream of a server that had broken off.

Cause: the header was not looked at. Now such an answer is like one without a signature: the request may have run, another server is tried where the route allows it, or the caller gets 502. Error responses stay as they are.

--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use egret_route::Failure;
 use http::{
     HeaderMap, StatusCode,
-    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+    header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
     response,
 };
 use hyper::body::Incoming;
@@ -158,9 +158,14 @@
         }
         return Outcome::NotRun;
     }
-    let usable = meta.signed && meta.request.is_some();
+    // Callers ask for no encoding, so an encoded body is not the one that was signed.
+    let encoded = head.status.is_success() && head.headers.contains_key(CONTENT_ENCODING);
+    let usable = meta.signed && meta.request.is_some() && !encoded;
     if !usable || implies_not_run(head.status) {
-        outcome("unusable", &format_args!("status={} signed={}", head.status, meta.signed));
+        outcome(
+            "unusable",
+            &format_args!("status={} signed={} encoded={encoded}", head.status, meta.signed),
+        );
         backend.breaker.borrow_mut().record_failure(Failure::BadResponse, gateway.now());
         return Outcome::Broken;
     }
