Check the first event of a stream that its caller resumes

A caller whose connection broke resumes its stream with Last-Event-Id. If the backend server then began with a later event, the caller missed events in a stream that ended as complete; if it began again from 1, events came twice.

Cause: the id of the first event was only checked after a break within the response. Now it must follow the caller's last event on routes that may be resumed; otherwise the server is left as for any gap, and another one is asked or the connection breaks off.

An empty answer to such a caller is still passed on as complete: it may have had all events when its connection broke.

--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -174,13 +174,16 @@
             return Err(broken);
         }
         let mut events = BytesMut::new();
+        // The caller has the events up to the one after which it resumes.
+        let resumable = self.job.route.kind == RouteKind::Stream { resumable: true };
+        let start = self.job.call.resume_after.filter(|_| resumable);
         for event in self.reader.by_ref() {
             let is_field = |name: &[u8]| self.gateway.protocol.is_event_field(name);
             if !event.is_comment() && !event.is_valid(is_field) {
                 self.pending_break = Some(Break::Foreign);
                 break;
             }
-            if let (Some(id), Some(last)) = (event.id, self.job.last_event) {
+            if let (Some(id), Some(last)) = (event.id, self.job.last_event.or(start)) {
                 if self.resumed && id <= last {
                     continue;
                 }
