Forward whole events only from agents, up to the end marker

On the product's own path (entry, agent, engine) a caller whose engine broke off found a torn event in its stream, as a whole one: the entry ended it with an empty line before its `error` event. After "data: [DONE]" without the empty line, the caller saw the end marker and then the error, or no error at all. The head of another answer or an error page was passed on, also after the end marker of a complete stream. A content that mentions "data: [DONE]" passed for the end marker.

Cause: the entry passed bytes on as they came, and the agent looks for the end marker anywhere in the last 64 bytes.

Now the entry passes on whole events only. The stream ends at the event that has the end marker as a line of its own; what follows is read and dropped. A body that ends without it, a torn event, text that is no event, or an event over 256 KiB ends the stream with the `error` event. The agent's check stays as it is; the entry's is the stricter one.

The framing of events moves from egret_gateway to egret_http, since both paths need it. An event is compared with the line ends of its stream now, not only with its own: a torn event without an id may have no other line than the one that an HTTP head continues. An id counts only if it is the only one.

--- a/crates/egret_entry/src/forward.rs
+++ b/crates/egret_entry/src/forward.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
-use egret_http::{HttpClient, SendError, headers, read_whole};
+use bytes::{Bytes, BytesMut};
+use egret_http::{Event, EventReader, HttpClient, SendError, headers, read_whole};
 use egret_route::{Code, Refusal};
 use futures::{StreamExt as _, stream};
 use http::{
@@ -19,6 +19,8 @@
 
 /// Maximum size of an answer that is not a stream, in bytes.
 const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+/// A line of the last event of a complete stream.
+const END_MARKER: &[u8] = b"data: [DONE]";
 
 /// The agent's load and limit, from the headers of its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,19 +115,25 @@
     Ok(Answer { status: head.status, content_type, version, body })
 }
 
-/// Forwards an agent's event stream; ends it with an `error` event if it is truncated.
+/// Forwards an agent's event stream up to its end marker; without one, it ends with an `error`
+/// event.
 ///
 /// `guard` is dropped when the stream ends.
 pub(crate) fn stream_body(body: Incoming, guard: impl Send + 'static) -> Body {
-    let body = BodyDataStream::new(body);
-    let events = stream::unfold(Some((body, guard)), |state| async move {
-        let (mut body, guard) = state?;
-        match body.next().await? {
-            Ok(data) => Some((Ok::<_, std::io::Error>(data), Some((body, guard)))),
-            Err(_) => {
+    let relay = EventRelay {
+        body: BodyDataStream::new(body),
+        reader: EventReader::default(),
+        complete: false,
+        broken: false,
+    };
+    let events = stream::unfold(Some((relay, guard)), |state| async move {
+        let (mut relay, guard) = state?;
+        match relay.next().await? {
+            Ok(events) => Some((Ok::<_, std::io::Error>(events), Some((relay, guard)))),
+            Err(StreamCut) => {
                 let message = "the stream was cut; ask again";
                 let refusal = Refusal::unknown(Code::BrokenAnswer, message);
-                let mut event = b"\n\nevent: error\ndata: ".to_vec();
+                let mut event = b"event: error\ndata: ".to_vec();
                 event.extend(refusal.body());
                 event.extend(b"\n\n");
                 Some((Ok(Bytes::from(event)), None))
@@ -135,6 +143,60 @@
     Body::from_stream(events.boxed())
 }
 
+/// A stream that ended before its end marker, or holds something else than events.
+struct StreamCut;
+
+/// The whole events of a stream, up to its end marker.
+struct EventRelay {
+    body: BodyDataStream<Incoming>,
+    reader: EventReader,
+    /// Whether the end marker was forwarded.
+    complete: bool,
+    /// Whether something else than an event came.
+    broken: bool,
+}
+
+impl EventRelay {
+    /// Returns the next events, or none at the end of a complete stream.
+    async fn next(&mut self) -> Option<Result<Bytes, StreamCut>> {
+        loop {
+            let events = self.whole_events();
+            if !events.is_empty() {
+                return Some(Ok(events));
+            }
+            if self.broken {
+                return Some(Err(StreamCut));
+            }
+            match self.body.next().await {
+                // What follows the end marker is no part of the stream.
+                Some(Ok(_)) if self.complete => {}
+                Some(Ok(data)) => self.reader.push(&data),
+                _ if self.complete => return None,
+                _ => return Some(Err(StreamCut)),
+            }
+        }
+    }
+
+    /// Takes the whole events out of the reader.
+    fn whole_events(&mut self) -> Bytes {
+        let mut events = BytesMut::new();
+        while !self.complete && !self.broken {
+            let Some(event) = self.reader.next() else { break };
+            self.broken = !event.is_well_formed(|_| false);
+            if !self.broken {
+                self.complete = is_end_marker(&event);
+                events.extend_from_slice(&event.bytes);
+            }
+        }
+        self.broken |= !self.complete && self.reader.is_oversized();
+        events.freeze()
+    }
+}
+
+fn is_end_marker(event: &Event) -> bool {
+    event.bytes.split(|byte| *byte == b'\n').any(|line| line.trim_ascii_end() == END_MARKER)
+}
+
 fn request(
     call: &Call,
     agent: SocketAddr,
--- a/crates/egret_gateway/src/lib.rs
+++ b/crates/egret_gateway/src/lib.rs
@@ -22,7 +22,6 @@
 //! - `slot`: the right to one request at a backend server.
 //! - `slots`: load balancing and the queue for slots at backend servers.
 //! - `attempt`: one attempt at one backend server.
-//! - `events`: the framing of event streams.
 //! - `body_reader`: response bodies that are not event streams.
 //! - `relay`: event streams, with failover to another backend server.
 //! - `exchange`: a request, from its arrival to its response.
@@ -33,7 +32,6 @@
 mod backend;
 mod body;
 mod body_reader;
-mod events;
 mod exchange;
 mod gateway;
 mod parts;
@@ -46,7 +44,6 @@
 mod tables;
 
 pub use body::{ResponseAborted, ResponseBody};
-pub use events::{Event, EventReader};
 pub use gateway::{Gateway, GatewaySettings};
 pub use protocol::{AttemptHead, BackendHead, CallerHead, InvalidHead, Protocol};
 pub use serve::{ConnectionLimits, serve};
--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use egret_http::{EVENT_BYTES_MAX, EventReader};
 use egret_quarantine::SURVIVAL_TIME;
 use egret_record::{PartList, RouteKind};
 use egret_route::Failure;
@@ -15,7 +16,6 @@
     ResponseAborted,
     attempt::{Outcome, attempt, is_event_stream, is_framed},
     backend::Connection,
-    events::{EVENT_BYTES_MAX, EventReader},
     exchange::Job,
     gateway::Gateway,
     slot::Slot,
@@ -179,7 +179,8 @@
         let start = self.job.call.resume_after.filter(|_| resumable);
         for event in self.reader.by_ref() {
             let is_field = |name: &[u8]| self.gateway.protocol.is_event_field(name);
-            if !event.is_comment() && !event.is_valid(is_field) {
+            let has_id = event.id.is_some() || event.is_comment();
+            if !has_id || !event.is_well_formed(is_field) {
                 self.pending_break = Some(Break::Foreign);
                 break;
             }
--- a/crates/egret_gateway/src/events.rs
+++ b/crates/egret_http/src/events.rs
@@ -7,7 +7,7 @@
 use bytes::{Buf as _, Bytes, BytesMut};
 
 /// Maximum size of one event, in bytes; a stream with a larger one counts as broken.
-pub(crate) const EVENT_BYTES_MAX: usize = 256 * 1024;
+pub const EVENT_BYTES_MAX: usize = 256 * 1024;
 
 /// The fields of an event that the standard defines.
 const FIELDS: [&[u8]; 4] = [b"id", b"data", b"event", b"retry"];
@@ -15,10 +15,12 @@
 /// One complete event, with the empty line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
-    /// Its id, if it has one.
+    /// Its id, if it has exactly one.
     pub id: Option<u64>,
     /// Its bytes.
     pub bytes: Bytes,
+    /// How the lines of its stream end.
+    line_end: &'static [u8],
 }
 
 impl Event {
@@ -29,43 +31,41 @@
         lines.all(|line| line.is_empty() || line.starts_with(b":"))
     }
 
-    /// Returns whether it has one id and consists of fields only.
+    /// Returns whether it consists of fields or comments, with the line ends of its stream.
     ///
     /// Another text, as the head of an error response, may follow the last event of a server or
     /// stand in the middle of it. `is_extension` tells which other fields an event may have.
     ///
     /// ```
-    /// use egret_gateway::EventReader;
+    /// use egret_http::EventReader;
     ///
     /// let mut reader = EventReader::default();
     /// reader.push(b"id: 7\ndata: a\n\nid: 8\nda");
     /// reader.push(b"HTTP/1.1 500 Internal Server Error\r\n\r\n");
-    /// assert!(reader.next().unwrap().is_valid(|_| false));
-    /// assert!(!reader.next().unwrap().is_valid(|_| false));
+    /// assert!(reader.next().unwrap().is_well_formed(|_| false));
+    /// assert!(!reader.next().unwrap().is_well_formed(|_| false));
     /// ```
     #[must_use]
-    pub fn is_valid(&self, is_extension: impl Fn(&[u8]) -> bool) -> bool {
-        let line_end = if self.bytes.ends_with(b"\r\n\r\n") { b"\r\n".as_slice() } else { b"\n" };
-        let mut ids = 0;
+    pub fn is_well_formed(&self, is_extension: impl Fn(&[u8]) -> bool) -> bool {
+        if self.is_comment() {
+            return true;
+        }
         for line in self.bytes.split_inclusive(|byte| *byte == b'\n') {
-            let Some(line) = line.strip_suffix(line_end) else { return false };
+            let Some(line) = line.strip_suffix(self.line_end) else { return false };
             let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
-            if name == b"id" {
-                ids += 1;
-            }
             // A line that begins with a colon is a comment.
             if !name.is_empty() && !FIELDS.contains(&name) && !is_extension(name) {
                 return false;
             }
         }
-        ids == 1 && self.id.is_some()
+        true
     }
 }
 
 /// Splits a byte stream into complete events.
 ///
 /// ```
-/// use egret_gateway::EventReader;
+/// use egret_http::EventReader;
 ///
 /// let mut reader = EventReader::default();
 /// reader.push(b"id: 7\ndata: a\n\nid: 8\nda");
@@ -78,6 +78,8 @@
     buffer: BytesMut,
     /// Number of bytes at the start in which no end of an event was found.
     searched: usize,
+    /// The end of the lines of the first event that is more than comments.
+    line_end: Option<&'static [u8]>,
 }
 
 impl EventReader {
@@ -126,14 +128,21 @@
         let end = self.end()?;
         let bytes = self.buffer.copy_to_bytes(end);
         self.searched = 0;
-        Some(Event { id: event_id(&bytes), bytes })
+        let own: &[u8] = if bytes.ends_with(b"\r\n\r\n") { b"\r\n" } else { b"\n" };
+        let line_end = self.line_end.unwrap_or(own);
+        let event = Event { id: event_id(&bytes), bytes, line_end };
+        if !event.is_comment() {
+            self.line_end = Some(line_end);
+        }
+        Some(event)
     }
 }
 
-/// Parses the last `id` field of an event.
+/// Parses the only `id` field of an event.
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let text = std::str::from_utf8(ids.next_back()?).ok()?;
+    let id = ids.next().filter(|_| ids.next().is_none())?;
+    let text = std::str::from_utf8(id).ok()?;
     text.trim().parse().ok()
 }
