--- a/crates/egret_gateway/src/relay.rs
+++ b/crates/egret_gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use egret_http::{EVENT_BYTES_MAX, EventReader};
 use egret_quarantine::SURVIVAL_TIME;
 use egret_record::{PartList, RouteKind};
 use egret_route::Failure;
@@ -13,9 +14,8 @@
 
 use crate::{
     ResponseAborted,
-    attempt::{Outcome, attempt, is_framed},
+    attempt::{Outcome, attempt, is_event_stream, is_framed},
     backend::Connection,
-    events::{EVENT_BYTES_MAX, EventReader},
     exchange::Job,
     gateway::Gateway,
     slot::Slot,
@@ -56,7 +56,8 @@
     answer_recorded: bool,
     /// Whether the body has a length or chunks, so that its end shows that it is complete.
     is_framed: bool,
-    /// Whether the next event is the first of a backend server that resumes the stream.
+    /// Whether the next event, comments aside, is the first of a backend server that resumes the
+    /// stream.
     resumed: bool,
     /// Set while complete events before the break are still to be forwarded.
     pending_break: Option<Break>,
@@ -66,12 +67,14 @@
 /// Why a backend server does not continue a stream; logged as `how` under these names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Break {
-    /// The stream ended early, or its bytes are not events.
+    /// The stream ended early.
     Cut,
     /// It sent no events for too long.
     Silent,
-    /// Its event ids do not follow the last one.
+    /// Its events do not follow the last one.
     Gap,
+    /// It sent something else than events.
+    Foreign,
 }
 
 impl Relay {
@@ -171,8 +174,17 @@
             return Err(broken);
         }
         let mut events = BytesMut::new();
+        // The caller has the events up to the one after which it resumes.
+        let resumable = self.job.route.kind == RouteKind::Stream { resumable: true };
+        let start = self.job.call.resume_after.filter(|_| resumable);
         for event in self.reader.by_ref() {
-            if let (Some(id), Some(last)) = (event.id, self.job.last_event) {
+            let is_field = |name: &[u8]| self.gateway.protocol.is_event_field(name);
+            let has_id = event.id.is_some() || event.is_comment();
+            if !has_id || !event.is_well_formed(is_field) {
+                self.pending_break = Some(Break::Foreign);
+                break;
+            }
+            if let (Some(id), Some(last)) = (event.id, self.job.last_event.or(start)) {
                 if self.resumed && id <= last {
                     continue;
                 }
@@ -181,8 +193,9 @@
                     break;
                 }
             }
-            self.has_content |= event.id.is_some() || !event.is_comment();
-            self.resumed = false;
+            let is_comment = event.is_comment();
+            self.has_content |= !is_comment;
+            self.resumed &= is_comment;
             self.job.last_event = event.id.or(self.job.last_event);
             events.extend_from_slice(&event.bytes);
         }
@@ -222,6 +235,8 @@
             Ok(None) if self.reader.is_partial() => Err(Break::Cut),
             // Without an event, nothing shows that it is more than the end of the server.
             Ok(None) if !self.is_framed && self.began.is_none() => Err(Break::Cut),
+            // Only the events before the break came; nothing shows that they were all.
+            Ok(None) if self.resumed => Err(Break::Gap),
             Ok(None) => {
                 self.ended = true;
                 match self.began {
@@ -318,7 +333,7 @@
         let id = slot.backend.status.borrow().id.clone();
         let head_timeout = gateway.head_timeout(&self.job);
         let response = match attempt(&gateway, &self.job, &slot, head_timeout).await {
-            Outcome::Response(response) if response.head.status.is_success() => response,
+            Outcome::Response(response) if is_event_stream(&response.head) => response,
             Outcome::Response(_) | Outcome::Broken => {
                 self.job.avoid.insert(id);
                 self.job.runs += 1;
