--- a/crates/egret_loader/tests/activation.rs
+++ b/crates/egret_loader/tests/activation.rs
@@ -59,6 +59,8 @@
     state: RefCell<State>,
     random: RefCell<SmallRng>,
     has_faults: Cell<bool>,
+    /// Whether it answers orders as complete that it has just begun and ended.
+    answers_complete: Cell<bool>,
     reads: Cell<u32>,
     /// How many readings there are to each one that gets no answer.
     reads_to_lost: Cell<Option<u32>>,
@@ -156,6 +158,7 @@
             state: RefCell::new(state),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             has_faults: Cell::new(true),
+            answers_complete: Cell::new(false),
             reads: Cell::new(0),
             reads_to_lost: Cell::new(None),
         })
@@ -295,7 +298,7 @@
         if self.0.chance(10) {
             return Err(EngineError::Unreachable("the answer is lost".to_owned()));
         }
-        answer
+        if self.0.answers_complete.get() { answer.map(|_| LoadAnswer::InEffect) } else { answer }
     }
 }
 
@@ -578,6 +581,30 @@
     });
 }
 
+// Guards against an engine that stays out of service because it answers that an order is complete,
+// as it does when it carries one out at once.
+#[test]
+fn orders_answered_as_complete_keep_no_engine_out_of_service() {
+    block_on(async {
+        let (engine, agent) = calm();
+        engine.answers_complete.set(true);
+        agent.activation.report(&*agent.engine).await.expect("a report");
+        fetch(&agent).await;
+        engine.state.borrow_mut().pieces.insert(0, Bytes::from_static(b"bad"));
+        let serves = async {
+            while agent.word.get() != (1, Some(WeightVersion(2))) {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let served = tokio::select! {
+            served = timeout(SETTLE_TIME, serves) => served.is_ok(),
+            () = agent.run() => unreachable!("it runs for ever"),
+        };
+        let state = engine.state.borrow();
+        assert!(served, "not in service after {SETTLE_TIME:?} and {} orders", state.orders);
+    });
+}
+
 // Guards against engines that serve layers taken from pieces that had gone bad, whatever was slow,
 // late, lost or repeated between the agent and its engine.
 #[test]
