Share the wait for service between two tests of the activation

Two tests ended with the same loop and the same assertion; one function holds both now, nothing else changes.

--- a/crates/egret_loader/tests/activation.rs
+++ b/crates/egret_loader/tests/activation.rs
@@ -559,6 +559,21 @@
     });
 }
 
+/// Runs the agent until version 2 serves; fails if that takes too long.
+async fn assert_serves_in_time(engine: &FaultyEngine, agent: &Agent) {
+    let serves = async {
+        while agent.word.get() != (1, Some(WeightVersion(2))) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let served = tokio::select! {
+        served = timeout(SETTLE_TIME, serves) => served.is_ok(),
+        () = agent.run() => unreachable!("it runs for ever"),
+    };
+    let state = engine.state.borrow();
+    assert!(served, "not in service after {SETTLE_TIME:?} and {} orders", state.orders);
+}
+
 // Guards against an engine that stays out of service though nothing it holds is spoilt, since one
 // reading in each pass gets no answer.
 #[test]
@@ -567,17 +582,7 @@
         let (engine, agent) = calm();
         engine.reads_to_lost.set(Some(PIECES - 1));
         agent.activation.report(&*agent.engine).await.expect("a report");
-        let serves = async {
-            while agent.word.get() != (1, Some(WeightVersion(2))) {
-                sleep(Duration::from_millis(10)).await;
-            }
-        };
-        let served = tokio::select! {
-            served = timeout(SETTLE_TIME, serves) => served.is_ok(),
-            () = agent.run() => unreachable!("it runs for ever"),
-        };
-        let state = engine.state.borrow();
-        assert!(served, "not in service after {SETTLE_TIME:?} and {} orders", state.orders);
+        assert_serves_in_time(&engine, &agent).await;
     });
 }
 
@@ -591,17 +596,7 @@
         agent.activation.report(&*agent.engine).await.expect("a report");
         fetch(&agent).await;
         engine.state.borrow_mut().pieces.insert(0, Bytes::from_static(b"bad"));
-        let serves = async {
-            while agent.word.get() != (1, Some(WeightVersion(2))) {
-                sleep(Duration::from_millis(10)).await;
-            }
-        };
-        let served = tokio::select! {
-            served = timeout(SETTLE_TIME, serves) => served.is_ok(),
-            () = agent.run() => unreachable!("it runs for ever"),
-        };
-        let state = engine.state.borrow();
-        assert!(served, "not in service after {SETTLE_TIME:?} and {} orders", state.orders);
+        assert_serves_in_time(&engine, &agent).await;
     });
 }
 
