review: additional bytes turn a runner's failure into a success

Shown: MIXED. A runner begins some responses a second time and breaks off in the status line; the next response on the channel is taken with that status.

--- a/review/tool/src/deploy.rs
+++ b/review/tool/src/deploy.rs
@@ -71,7 +71,7 @@
 impl Deployment {
     pub(crate) fn new(root: &Path, record: &Record) -> Outcome<Self> {
         let clock = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH)?;
-        let drawn = clock.subsec_nanos() / 1_000 ^ std::process::id().wrapping_mul(2_654_435_761);
+        let drawn = clock.subsec_micros() ^ std::process::id().wrapping_mul(2_654_435_761);
         let net = [64 + (drawn % 128) as u8, (drawn >> 8) as u8];
         let folder = std::env::temp_dir().join(format!("review-{}-{drawn}", std::process::id()));
         fs::create_dir_all(&folder)?;
--- a/review/tool/src/directory.rs
+++ b/review/tool/src/directory.rs
@@ -21,9 +21,10 @@
     for zone in 0..3 {
         deployment.add(Class::Core, zone, None)?;
     }
+    // The only one in its region.
     let lost = deployment.add(Class::Edge, 0, None)?;
-    let other = deployment.add(Class::Edge, 0, None)?;
-    deployment.add(Class::Edge, 1, None)?;
+    let other = deployment.add(Class::Edge, 1, None)?;
+    deployment.add(Class::Edge, 2, None)?;
     let all: Vec<usize> = (0..deployment.machines.len()).collect();
     for number in &all {
         deployment.start(*number, true)?;
@@ -54,17 +55,19 @@
     let (zone, region) = ZONES[0];
     let path = format!("/v1/resolve?name={}&region={region}&zone={zone}", catalog::HOST);
     let (lost, directory) = (deployment.client_address(lost), deployment.directory_address(other));
-    let mut named = 0;
+    let (mut named, mut alone) = (0, 0);
     for _ in 0..ASKED {
         let second = Duration::from_secs(1);
         let answer = http::call(directory, "GET", &path, &[], &[], second)?;
         record.line(format_args!("the directory answers {} {}", answer.first, answer.text()));
         named += usize::from(answer.text().contains(&lost.to_string()));
+        alone += usize::from(answer.text().contains(&format!("[\"{lost}\"]")));
         thread::sleep(Duration::from_millis(500));
     }
     let since = record.now() - ended;
     record.announce(format_args!(
-        "{named} of {ASKED} answers name the entry that ended; the last {since:?} after it"
+        "{named} of {ASKED} answers name the entry that ended, {alone} of them no other one; the \
+         last {since:?} after its end"
     ));
     deployment.check_running()?;
     Ok(Held(named <= NAMED_MAX))
--- a/review/tool/src/http.rs
+++ b/review/tool/src/http.rs
@@ -48,11 +48,13 @@
     pub(crate) status: u16,
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: Vec<u8>,
+    /// Additional bytes after it, which arrive where the next response is expected.
+    pub(crate) late: Vec<u8>,
 }
 
 impl Reply {
     pub(crate) fn new(status: u16, body: impl Into<Vec<u8>>) -> Self {
-        Self { status, headers: Vec::new(), body: body.into() }
+        Self { status, headers: Vec::new(), body: body.into(), late: Vec::new() }
     }
 
     pub(crate) fn with(mut self, name: &str, value: impl ToString) -> Self {
@@ -134,6 +136,22 @@
     read_message(&mut BufReader::new(stream), true)
 }
 
+/// Returns the first line of a response.
+pub(crate) fn first_line(status: u16) -> String {
+    let reason = match status {
+        200 => "OK",
+        202 => "Accepted",
+        400 => "Bad Request",
+        404 => "Not Found",
+        409 => "Conflict",
+        421 => "Misdirected Request",
+        500 => "Internal Server Error",
+        503 => "Service Unavailable",
+        _ => "Other",
+    };
+    format!("HTTP/1.1 {status} {reason}")
+}
+
 /// Serves requests until the process ends, one thread for each connection.
 pub(crate) fn serve<H>(address: SocketAddr, handler: H) -> io::Result<()>
 where
@@ -156,11 +174,14 @@
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
+    let mut late = Vec::new();
     loop {
         let request = read_message(&mut reader, false)?;
+        writer.write_all(&late)?;
         let reply = handler(&request);
+        late = reply.late;
         let mut bytes =
-            format!("HTTP/1.1 {} -\r\ncontent-length: {}\r\n", reply.status, reply.body.len());
+            format!("{}\r\ncontent-length: {}\r\n", first_line(reply.status), reply.body.len());
         for (name, value) in &reply.headers {
             bytes += &format!("{name}: {value}\r\n");
         }
--- a/review/tool/src/main.rs
+++ b/review/tool/src/main.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod drain;
 mod http;
+mod mixed;
 mod quorum;
 mod record;
 mod recover;
@@ -45,6 +46,7 @@
     let deployment = Deployment::new(&std::env::current_dir()?, &record)?;
     let held = match case {
         "quorum" => quorum::run(deployment, &record, &trouble),
+        "mixed" => mixed::run(deployment, &record, &trouble),
         "recover" => recover::run(deployment, &record, &trouble),
         "drain" => drain::run(deployment, &record, &trouble),
         "directory" => directory::run(deployment, &record, &trouble),
--- a/review/tool/src/runner.rs
+++ b/review/tool/src/runner.rs
@@ -30,6 +30,14 @@
 const LOAD_TIME: Duration = Duration::from_millis(300);
 /// Time between two status reports.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// How a plain runner's response to a request that failed begins.
+pub(crate) const FAILURE: &str = "failure of";
+/// One request in this many fails: 14 in 100, as for reads on the site's sheet.
+const FAILS_EACH: u64 = 7;
+/// One response in this many is begun a second time.
+const GARBLES_EACH: u64 = 25;
+/// Bytes of the second response.
+const GARBLE_BYTES: usize = 14;
 /// Bits a second on the link of the origin.
 const ORIGIN_BITS: f64 = 7_300_000.0;
 
@@ -92,6 +100,9 @@
     reports: AtomicBool,
     leaves: AtomicBool,
     runs: Mutex<Vec<Run>>,
+    /// Whether additional bytes follow some of its responses.
+    garbles: AtomicBool,
+    answers: AtomicU64,
     engine: Option<Mutex<EngineState>>,
 }
 
@@ -146,6 +157,8 @@
             reports: AtomicBool::new(true),
             leaves: AtomicBool::new(false),
             runs: Mutex::default(),
+            garbles: AtomicBool::new(false),
+            answers: AtomicU64::new(0),
             engine,
         });
         let served = runner.clone();
@@ -199,6 +212,13 @@
             .is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// Fails one request in [`FAILS_EACH`]; if `garbles` is set, sends one response in
+    /// [`GARBLES_EACH`] a second time, late, and breaks off after [`GARBLE_BYTES`].
+    pub(crate) fn fail_some(&self, garbles: bool) {
+        self.answers.store(1, Ordering::Relaxed);
+        self.garbles.store(garbles, Ordering::Relaxed);
+    }
+
     pub(crate) fn runs(&self) -> Vec<Run> {
         lock(&self.runs).clone()
     }
@@ -273,12 +293,32 @@
             }
             None => {
                 thread::sleep(Duration::from_millis(30));
-                Reply::new(200, format!("the record of {id}"))
+                self.read(&id)
             }
         };
         reply.with("X-Request-Id", &id).with("X-Stamp", format_args!("3e1b.{}", self.id))
     }
 
+    /// Answers a read.
+    fn read(&self, id: &str) -> Reply {
+        let count = match self.answers.load(Ordering::Relaxed) {
+            0 => 0,
+            _ => self.answers.fetch_add(1, Ordering::Relaxed),
+        };
+        let mut reply = if count > 0 && count % FAILS_EACH == 0 {
+            self.record.line(format_args!("{} answers {id} with 500", self.id));
+            Reply::new(500, format!("{FAILURE} {id}"))
+        } else {
+            Reply::new(200, format!("the record of {id}"))
+        };
+        if self.garbles.load(Ordering::Relaxed) && count % GARBLES_EACH == 0 {
+            self.record.line(format_args!("{}: a second answer to {id} begins", self.id));
+            reply.late = http::first_line(reply.status).into_bytes();
+            reply.late.truncate(GARBLE_BYTES);
+        }
+        reply
+    }
+
     fn engine_call(&self, engine: &Mutex<EngineState>, request: &Message, path: &str) -> Reply {
         let plain = path.split('?').next().unwrap_or_default();
         let index = parameter(path, "num").and_then(|index| u32::try_from(index).ok());
