Keep a quorum when a disk is lost after a planned replacement

What callers saw: after a control instance had been replaced as planned, the loss of another instance's disk left the control state without a leader for good.

Cause: the replaced instance ended on SIGTERM without leaving, and a surplus voter was removed after 6 s of silence only, so it still counted among four voters when the second identity was lost. A lost identity counted as a voter, too, although its address answers under another one and it can never vote again. Two of four voters were left.

Fix: a voter that shuts down leaves if enough voters remain; a silent surplus voter is removed after 2 s and rejoins by itself if it returns; among an even number of voters one whose disk is lost is left out of the quorum, which covers a removal without SIGTERM at the moment of the loss. To keep that safe, a membership change is committed by a quorum of the former membership as well, a member decides by both until it knows the change to be committed, and nothing that a lost voter sent before the loss was known is counted.

--- a/crates/egret_consensus/src/election.rs
+++ b/crates/egret_consensus/src/election.rs
@@ -222,12 +222,10 @@
     }
 
     fn has_won(&self) -> bool {
-        let membership = self.membership();
-        if self.unanimous {
-            return membership.voters.is_subset(&self.votes);
+        if self.unanimous && !self.membership().voters.is_subset(&self.votes) {
+            return false;
         }
-        let votes = self.votes.iter().filter(|id| membership.voters.contains(id));
-        votes.count() >= membership.quorum()
+        self.reached_by_quorum(|id| self.votes.contains(&id)) == Some(true)
     }
 
     fn is_up_to_date(&self, last: Index, last_term: Term) -> bool {
--- a/crates/egret_consensus/src/lib.rs
+++ b/crates/egret_consensus/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `node`: one member of the cluster.
 //! - `election`: pre-votes, votes and becoming leader.
 //! - `replication`: log replication and the commit index.
+//! - `quorum`: which acknowledgements and votes suffice.
 //!
 //! ```
 //! use std::time::Duration;
@@ -33,6 +34,7 @@
 mod log;
 mod message;
 mod node;
+mod quorum;
 mod replication;
 mod types;
 
--- a/crates/egret_consensus/src/node.rs
+++ b/crates/egret_consensus/src/node.rs
@@ -171,6 +171,8 @@
     pub(crate) started: Duration,
     /// Whether this process has led or followed a leader since it started.
     pub(crate) had_leader: bool,
+    /// The voters whose identities are lost with their disks.
+    pub(crate) lost: BTreeSet<MemberId>,
     pub(crate) progress: BTreeMap<MemberId, Progress>,
     /// The first index of this member's own term as leader.
     pub(crate) term_start: Index,
@@ -214,6 +216,7 @@
             unanimous: false,
             started: now,
             had_leader: false,
+            lost: BTreeSet::new(),
             progress: BTreeMap::new(),
             term_start: Index(0),
             elected_at: now,
--- a/crates/egret_consensus/src/replication.rs
+++ b/crates/egret_consensus/src/replication.rs
@@ -200,19 +200,12 @@
 
     /// Commits up to the last index that a quorum has, if that entry is of this leader's term.
     pub(crate) fn advance_commit(&mut self, now: Duration) {
-        let membership = self.membership();
-        let mut matched: Vec<_> = membership
-            .voters
-            .iter()
-            .map(|id| match self.progress.get(id) {
-                _ if *id == self.id => self.log.last(),
-                Some(progress) => progress.matched,
-                None => Index(0),
-            })
-            .collect();
-        matched.sort_unstable_by(|a, b| b.cmp(a));
-        let quorum = membership.quorum();
-        let Some(index) = matched.get(quorum - 1).copied() else {
+        let matched = |id| match self.progress.get(&id) {
+            _ if id == self.id => self.log.last(),
+            Some(progress) => progress.matched,
+            None => Index(0),
+        };
+        let Some(index) = self.reached_by_quorum(matched) else {
             return;
         };
         if index <= self.commit || self.log.term(index) != Some(self.hard_state.term) {
@@ -228,18 +221,12 @@
 
     /// Returns the latest send time that a quorum has acknowledged, on this leader's clock.
     pub(crate) fn quorum_acked(&self, now: Duration) -> Option<Duration> {
-        let membership = self.membership();
-        let mut acked: Vec<_> = membership
-            .voters
-            .iter()
-            .map(|id| match self.progress.get(id) {
-                _ if *id == self.id => Some(now),
-                Some(progress) => progress.acked,
-                None => None,
-            })
-            .collect();
-        acked.sort_unstable_by(|a, b| b.cmp(a));
-        acked.get(membership.quorum() - 1).copied().flatten()
+        let acked = |id| match self.progress.get(&id) {
+            _ if id == self.id => Some(now),
+            Some(progress) => progress.acked,
+            None => None,
+        };
+        self.reached_by_quorum(acked).flatten()
     }
 
     fn follow_leader(&mut self, leader: MemberId, now: Duration) {
--- a/crates/egret_consensus/tests/cluster.rs
+++ b/crates/egret_consensus/tests/cluster.rs
@@ -25,6 +25,8 @@
     forget_votes: bool,
     long_lease: bool,
     reuse_identity: bool,
+    /// Members that run are taken for lost with their disks.
+    mistaken_losses: bool,
     forget_entries: bool,
     /// All vote requests claim to need every voter, so members that have just started grant them.
     all_unanimous: bool,
@@ -58,6 +60,8 @@
     applied: BTreeMap<Index, LogEntry>,
     leaders: BTreeMap<Term, MemberId>,
     next_id: u64,
+    /// The identity that was lost with its disk; each run loses one disk at most.
+    lost: Option<MemberId>,
     proposed: u64,
     violations: Vec<String>,
 }
@@ -82,6 +86,7 @@
             applied: BTreeMap::new(),
             leaders: BTreeMap::new(),
             next_id: voters + 1,
+            lost: None,
             proposed: 0,
             violations: Vec::new(),
         };
@@ -239,10 +244,14 @@
     }
 
     fn lose_disk(&mut self) {
+        let id = self.random_id();
         if !self.guards.reuse_identity {
+            if self.lost.is_none() && self.instances.len() > 3 {
+                self.lost = Some(id);
+                self.instances.remove(&id);
+            }
             return;
         }
-        let id = self.random_id();
         let membership = match self.instances[&id].node.as_ref() {
             Some(node) => node.membership().clone(),
             None => return,
@@ -254,6 +263,16 @@
         self.start(id);
     }
 
+    /// Tells some instance that an identity is lost.
+    fn reveal_loss(&mut self) {
+        let lost = if self.guards.mistaken_losses { Some(self.random_id()) } else { self.lost };
+        let Some(lost) = lost else { return };
+        let id = self.random_id();
+        self.drive(id, |node, now| {
+            node.mark_lost(lost, now);
+        });
+    }
+
     fn compact(&mut self) {
         let id = self.random_id();
         let Some(instance) = self.instances.get_mut(&id) else { return };
@@ -323,6 +342,14 @@
 
     fn heal(&mut self) {
         self.broken_links.clear();
+        if let Some(lost) = self.lost {
+            let ids: Vec<_> = self.instances.keys().copied().collect();
+            for id in ids {
+                self.drive(id, |node, now| {
+                    node.mark_lost(lost, now);
+                });
+            }
+        }
         let down: Vec<_> =
             self.instances.iter().filter(|(_, i)| i.node.is_none()).map(|(id, _)| *id).collect();
         down.into_iter().for_each(|id| self.start(id));
@@ -348,6 +375,9 @@
         if run.random.random_range(0..15) == 0 {
             run.inject_fault();
         }
+        if run.random.random_range(0..10) == 0 {
+            run.reveal_loss();
+        }
     }
     run
 }
@@ -418,6 +448,13 @@
     assert!(found.is_some(), "the checker must report a second vote under the same identity");
 }
 
+#[test]
+fn guard_off_running_members_are_taken_for_lost() {
+    let found = first_violation(Guards { mistaken_losses: true, ..Guards::default() });
+    println!("found={found:?}");
+    assert!(found.is_some(), "the checker must report what a member decided that was left out");
+}
+
 /// Partitions the leader and restarts all other members but one at the same time.
 ///
 /// The restarted members forget the lease that they have just renewed; the other one has had no
--- a/crates/egret_control/src/bootstrap.rs
+++ b/crates/egret_control/src/bootstrap.rs
@@ -69,6 +69,8 @@
 }
 
 /// Requests to join whenever this instance is not a member or has no contact to a leader.
+///
+/// The replies also show which members have lost their identity with their disk.
 pub(crate) async fn request_to_join(
     settings: &ControlSettings,
     own: MemberId,
@@ -80,10 +82,18 @@
             let member = core.membership().members.contains_key(&own);
             let has_leader =
                 core.since_leader_contact().is_some_and(|elapsed| elapsed < LEADERLESS_TIMEOUT);
-            (!member || !has_leader).then(|| known_addresses(settings, &core))
+            (!member || !has_leader)
+                .then(|| (known_addresses(settings, &core), core.other_members()))
         };
-        if let Some(addresses) = targets {
+        if let Some((addresses, members)) = targets {
             let replies = hello_all(settings, own, addresses).await;
+            // The call began when the member was known already, so whoever replies came later.
+            let is_lost = |(id, address): &(MemberId, SocketAddr)| {
+                replies.get(address).is_some_and(|other| other.id != *id)
+            };
+            for (id, _) in members.into_iter().filter(is_lost) {
+                core.borrow_mut().mark_lost(id);
+            }
             let members = replies.into_values().map(|other| (other.id, other.member));
             core.borrow_mut().introduced.extend(members);
         }
--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -1,6 +1,6 @@
 //! The control loop, which connects the Raft node, the disk and the replicated state.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use egret_consensus::{
     Envelope, Index, LogEntry, Member, Membership, Node, Payload, Ready, Role, Snapshot, Term,
@@ -240,8 +240,9 @@
 
     /// Adds instances that request to join, and removes members whose disk or instance was lost.
     fn apply_membership_policy(&mut self, now: Duration) {
-        /// Time without a reply after which a voter beyond the configured number is removed.
-        const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_secs(6);
+        /// Time without a reply after which a voter beyond the configured number is removed. It
+        /// rejoins by itself, while a voter that is gone is missing from every quorum.
+        const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_secs(2);
         let unresponsive = self.node.unresponsive_voters(UNRESPONSIVE_TIMEOUT, now);
         let Some(next) = self.membership_policy.next_membership(
             self.node.membership(),
@@ -256,6 +257,25 @@
         }
     }
 
+    /// Returns whether a member may leave the cluster without being replaced.
+    pub(crate) fn may_leave(&self, id: MemberId) -> bool {
+        self.membership_policy.may_leave(self.membership(), id)
+    }
+
+    /// Returns the address of each other member.
+    pub(crate) fn other_members(&self) -> Vec<(MemberId, SocketAddr)> {
+        let members = self.membership().members.iter().filter(|(id, _)| **id != self.node.id());
+        members.filter_map(|(id, member)| Some((*id, member.address.parse().ok()?))).collect()
+    }
+
+    /// Records that a member's identity is lost, since its address has another one.
+    pub(crate) fn mark_lost(&mut self, id: MemberId) {
+        let now = self.now();
+        if self.node.mark_lost(id, now) {
+            log::warn!("event=member_lost member={:016x}", id.0);
+        }
+    }
+
     fn handle(&mut self, input: Input) {
         let now = self.now();
         match input {
@@ -467,7 +487,11 @@
     fn compact(&mut self) -> Result<(), StoreError> {
         let commit = self.node.commit();
         let old = self.node.log().snapshot().index;
-        if commit.0 - old.0 < self.snapshot_entries {
+        // After a restart, only the snapshot shows that a membership change is committed; until
+        // then the former members are needed as well, which may be gone.
+        let (changed, _) = self.node.log().membership();
+        let has_new_members = old < changed && changed <= commit;
+        if commit.0 - old.0 < self.snapshot_entries && !has_new_members {
             return Ok(());
         }
         let data = self.state.snapshot();
--- a/crates/egret_control/src/fleet_exchange.rs
+++ b/crates/egret_control/src/fleet_exchange.rs
@@ -7,7 +7,7 @@
 use std::{cell::RefCell, net::IpAddr, net::SocketAddr, rc::Rc, time::Duration};
 
 use egret_fleet::FeedCursor;
-use egret_record::{FastSet, MemberId};
+use egret_record::FastSet;
 use egret_rpc::{Connections, LONG_POLL_TIMEOUT, REPLY_GRACE, Watch, schema::control, watch_once};
 use tokio::time::{sleep, timeout};
 
@@ -22,16 +22,16 @@
 const POLL_TIMEOUT: Duration = LONG_POLL_TIMEOUT.saturating_add(REPLY_GRACE);
 
 /// Follows the feeds of all other control instances.
-pub(crate) async fn run(local_ip: IpAddr, id: MemberId, core: Rc<RefCell<Core>>) {
+pub(crate) async fn run(local_ip: IpAddr, core: Rc<RefCell<Core>>) {
     let connections = Rc::new(Connections::new(local_ip));
     let followed: Rc<RefCell<FastSet<SocketAddr>>> = Rc::default();
     loop {
-        for address in others(id, &core.borrow()) {
+        for address in others(&core.borrow()) {
             if followed.borrow_mut().insert(address) {
                 let (connections, followed) = (connections.clone(), followed.clone());
                 let core = core.clone();
                 tokio::task::spawn_local(async move {
-                    follow(&connections, address, id, &core).await;
+                    follow(&connections, address, &core).await;
                     followed.borrow_mut().remove(&address);
                 });
             }
@@ -40,20 +40,18 @@
     }
 }
 
-fn others(own: MemberId, core: &Core) -> Vec<SocketAddr> {
-    let members = core.membership().members.iter().filter(|(id, _)| **id != own);
-    members.filter_map(|(_, member)| member.address.parse().ok()).collect()
+fn others(core: &Core) -> Vec<SocketAddr> {
+    core.other_members().into_iter().map(|(_, address)| address).collect()
 }
 
 /// Follows the feed of one instance for as long as it is a member.
 async fn follow(
     connections: &Connections<control::Client>,
     address: SocketAddr,
-    own: MemberId,
     core: &RefCell<Core>,
 ) {
     let mut cursor = FeedCursor::default();
-    while others(own, &core.borrow()).contains(&address) {
+    while others(&core.borrow()).contains(&address) {
         // The replicated log already carries the view; only the feed is needed.
         let revision = egret_record::Revision(u64::MAX);
         let watch = Watch { revision, cursor, process: None, immediate: false };
--- a/crates/egret_control/src/membership_policy.rs
+++ b/crates/egret_control/src/membership_policy.rs
@@ -43,7 +43,17 @@
                 None => membership.with_learner(*id, member.clone()),
             });
         }
-        let surplus = membership.voters.len() > self.voters;
+        let surplus = self.has_surplus(membership);
         unresponsive.first().filter(|_| surplus).map(|id| membership.without(*id))
     }
+
+    /// Returns whether a member that shuts down may leave, since enough voters remain.
+    #[must_use]
+    pub fn may_leave(&self, membership: &Membership, id: MemberId) -> bool {
+        self.auto && membership.voters.contains(&id) && self.has_surplus(membership)
+    }
+
+    fn has_surplus(&self, membership: &Membership) -> bool {
+        membership.voters.len() > self.voters
+    }
 }
--- a/crates/egret_control/src/program.rs
+++ b/crates/egret_control/src/program.rs
@@ -3,7 +3,8 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use egret_consensus::{Member, Node, Persisted, Timing};
-use egret_rpc::{listen, schema::control};
+use egret_record::MemberId;
+use egret_rpc::{ControlClient, Reply, Request, listen, schema::control};
 use egret_settings::ControlSettings;
 use egret_store::{DataFolder, Journal, StoreError};
 use egret_telemetry::{ListenError, MetricsError, bind, serve_metrics};
@@ -29,6 +30,9 @@
 /// Limit of inputs queued for the control loop.
 const QUEUED_INPUTS_MAX: usize = 8_192;
 
+/// Longest time for which a process that is asked to stop tries to leave the cluster.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why the program failed.
 #[derive(Debug, Error, Diagnostic)]
 pub enum ProgramError {
@@ -87,15 +91,38 @@
     let client: control::Client = capnp_rpc::new_client(server.clone());
     tokio::task::spawn_local(listen(listener, client.client));
     attach(LocalControl::new(server.clone())).await?;
+    let stopped = async {
+        stop.await;
+        leave_cluster(&settings, own, &server).await;
+    };
     tokio::select! {
         result = run_member(&settings, &folder, &server) => result,
-        () = stop => {
+        () = stopped => {
             log::info!("event=stopped program=egret-control name={}", settings.name);
             Ok(())
         }
     }
 }
 
+/// Leaves the cluster before this process ends, if enough voters remain.
+///
+/// Otherwise this voter would be missing from every quorum until it is removed.
+async fn leave_cluster(settings: &ControlSettings, own: MemberId, server: &Server) {
+    let Some(running) = server.running() else { return };
+    if !running.core.borrow().may_leave(own) {
+        return;
+    }
+    let others = running.core.borrow().other_members();
+    let addresses = others.into_iter().map(|(_, address)| address).chain([settings.address()]);
+    let client = ControlClient::new(settings.listen.ip(), addresses.collect());
+    let deadline = Instant::now() + LEAVE_TIMEOUT;
+    match client.call(&Request::LeaveCluster(own), deadline).await {
+        Ok(Reply::Accepted { .. }) => log::info!("event=cluster_left name={}", settings.name),
+        Ok(reply) => log::info!("event=cluster_not_left reply=\"{reply:?}\""),
+        Err(error) => log::warn!("event=cluster_not_left error=\"{error}\""),
+    }
+}
+
 async fn run_member(
     settings: &ControlSettings,
     folder: &DataFolder,
@@ -112,7 +139,7 @@
     let core = Rc::new(RefCell::new(build_core(settings, folder, journal, persisted)?));
     let (sender, inbox) = mpsc::channel(QUEUED_INPUTS_MAX);
     server.start(core.clone(), sender);
-    let exchange = fleet_exchange::run(settings.listen.ip(), own, core.clone());
+    let exchange = fleet_exchange::run(settings.listen.ip(), core.clone());
     tokio::select! {
         result = drive(core.clone(), inbox, Peers::new(settings.listen.ip())) => Ok(result?),
         () = bootstrap::request_to_join(settings, own, &core) => Ok(()),
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -109,6 +109,16 @@
                 let change = MembershipChange::Remove(id);
                 self.submit(|reply| Input::ChangeMembership(change, reply)).await
             }
+            Request::LeaveCluster(id) => {
+                if !self.core.borrow().may_leave(id) {
+                    return self.refuse(format!(
+                        "control instance {:016x} cannot leave; start another one first",
+                        id.0
+                    ));
+                }
+                let change = MembershipChange::Remove(id);
+                self.submit(|reply| Input::ChangeMembership(change, reply)).await
+            }
         }
     }
 
--- a/crates/egret_control/tests/membership_policy.rs
+++ b/crates/egret_control/tests/membership_policy.rs
@@ -51,6 +51,18 @@
     assert!(!next.voters.contains(&MemberId(2)));
 }
 
+// Guards against a voter that shuts down after it was replaced and counts on as a voter; and against
+// one that leaves although the others then tolerate no loss.
+#[test]
+fn voter_may_leave_only_when_enough_remain() {
+    assert!(!AUTO.may_leave(&three_voters(), MemberId(1)));
+    let learner = three_voters().with_learner(MemberId(4), member("d"));
+    assert!(!AUTO.may_leave(&learner, MemberId(1)));
+    let four = learner.with_promoted(MemberId(4));
+    assert!(AUTO.may_leave(&four, MemberId(1)));
+    assert!(!AUTO.may_leave(&four, MemberId(9)), "only members leave");
+}
+
 #[test]
 fn membership_does_not_change_when_the_policy_is_off() {
     let off = MembershipPolicy { auto: false, voters: 3 };
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -84,6 +84,8 @@
     AcquirePermits(Vec<PermitWant>),
     /// Tells the leader under which requests backend servers crashed, and under which they did not.
     ReportParts(PartsReport),
+    /// Removes the control instance with this identity, which shuts down, if enough voters remain.
+    LeaveCluster(MemberId),
 }
 
 /// A follower's request for changes, with the state that it already has.
