Tell orders that an engine completed from those for which it did nothing

Cause: the agent took 200 ("already in effect, or complete") for "nothing taken" and started over, some ten orders a second. The same happened with an order that completes after the agent stopped waiting for its answer.

Fix: when an answer says complete, or is missing, the engine's count of orders decides: one more than before means that the order has begun, however it was answered. What counts as proof that weights are whole is unchanged.

--- a/crates/egret_loader/src/activation.rs
+++ b/crates/egret_loader/src/activation.rs
@@ -214,7 +214,7 @@
         let [layers, _] = RELOAD_STEPS;
         let expected = before.orders;
         let mut order = LoadOrder { target, layers: Some(layers), mode, expected };
-        send(engine, &mut order).await?;
+        self.send(engine, &mut order).await?;
         self.wait_until(engine, |report| !report.busy).await
     }
 
@@ -245,14 +245,14 @@
             let [first, second] = RELOAD_STEPS;
             order.layers = Some(first);
             // It may hold just these after an attempt that was interrupted.
-            send(engine, &mut order).await?;
+            self.send(engine, &mut order).await?;
             self.wait_until(engine, |report| !report.busy).await?;
             order.layers = Some(second);
-            start(engine, &mut order).await?;
+            self.start(engine, &mut order).await?;
             self.wait_until(engine, |report| !report.busy).await?;
             order.layers = None;
         }
-        let started = start(engine, &mut order).await;
+        let started = self.start(engine, &mut order).await;
         let has_loaded = |report: &EngineReport| {
             version_of(&report.models, &target.model) == Some(target.version)
                 || (!report.busy && started.is_err())
@@ -298,28 +298,46 @@
         }
         loaded
     }
-}
 
-/// Sends an order; if it has started, the next one is expected after it.
-async fn send(engine: &impl Engine, order: &mut LoadOrder<'_>) -> Result<LoadAnswer, EngineError> {
-    let sent = Instant::now();
-    let answer = engine.load(order).await;
-    log::info!(
-        "event=load_answered version={} layers={:?} took_ms={} answer={answer:?}",
-        order.target.version,
-        order.layers,
-        sent.elapsed().as_millis()
-    );
-    if answer == Ok(LoadAnswer::Started) {
-        order.expected = order.expected.map(|orders| orders + 1);
+    /// Sends an order, and returns whether the engine has begun to carry it out.
+    ///
+    /// Only the engine's count of orders tells whether it held the layers before or has loaded them
+    /// meanwhile, and whether it has accepted an order that it did not answer. The next order is
+    /// expected after one that has begun.
+    async fn send(
+        &self,
+        engine: &impl Engine,
+        order: &mut LoadOrder<'_>,
+    ) -> Result<bool, EngineError> {
+        let sent = Instant::now();
+        let answer = engine.load(order).await;
+        log::info!(
+            "event=load_answered version={} layers={:?} took_ms={} answer={answer:?}",
+            order.target.version,
+            order.layers,
+            sent.elapsed().as_millis()
+        );
+        let next = order.expected.map(|orders| orders + 1);
+        let has_begun = match answer {
+            Ok(LoadAnswer::Started) => true,
+            Ok(LoadAnswer::Complete) | Err(EngineError::Unreachable(_)) => {
+                next.is_some() && self.report(engine).await?.orders == next
+            }
+            Err(_) => false,
+        };
+        if !has_begun {
+            return answer.map(|_| false);
+        }
+        order.expected = next;
+        Ok(true)
     }
-    answer
-}
 
-/// Sends an order for which the engine must take some layers.
-async fn start(engine: &impl Engine, order: &mut LoadOrder<'_>) -> Result<(), EngineError> {
-    match send(engine, order).await? {
-        LoadAnswer::Started => Ok(()),
-        LoadAnswer::InEffect => Err(EngineError::InEffect),
+    /// Sends an order for which the engine must take some layers.
+    async fn start(
+        &self,
+        engine: &impl Engine,
+        order: &mut LoadOrder<'_>,
+    ) -> Result<(), EngineError> {
+        if self.send(engine, order).await? { Ok(()) } else { Err(EngineError::InEffect) }
     }
 }
--- a/crates/egret_loader/src/engine.rs
+++ b/crates/egret_loader/src/engine.rs
@@ -78,8 +78,8 @@
 pub enum LoadAnswer {
     /// It has taken the pieces as they were staged and begins to load them.
     Started,
-    /// It holds these layers already and takes nothing.
-    InEffect,
+    /// It holds these layers: it held them before, or has loaded them since it got the order.
+    Complete,
 }
 
 /// The engine next to this agent.
--- a/crates/egret_loader/tests/activation.rs
+++ b/crates/egret_loader/tests/activation.rs
@@ -50,17 +50,29 @@
     orders: u64,
     layers: Vec<Option<Layer>>,
     loading: Option<(Instant, Vec<Option<Layer>>)>,
+    /// How long it takes to load all layers.
+    load_time: Duration,
     pieces: BTreeMap<u32, Bytes>,
 }
 
+/// How an engine answers an order that it accepts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderAnswers {
+    /// At once, as begun.
+    AsBegun,
+    /// At once, as complete.
+    AsComplete,
+    /// As complete, once it is.
+    OnceComplete,
+}
+
 /// An engine whose faults are drawn from a seed.
 #[derive(Debug)]
 struct FaultyEngine {
     state: RefCell<State>,
     random: RefCell<SmallRng>,
     has_faults: Cell<bool>,
-    /// Whether it answers orders as complete that it has just begun and ended.
-    answers_complete: Cell<bool>,
+    answers: Cell<OrderAnswers>,
     reads: Cell<u32>,
     /// How many readings there are to each one that gets no answer.
     reads_to_lost: Cell<Option<u32>>,
@@ -110,7 +122,7 @@
             return refused;
         }
         if self.held() == Some((order.from, order.target, order.version)) {
-            return Ok(LoadAnswer::InEffect);
+            return Ok(LoadAnswer::Complete);
         }
         self.orders += 1;
         let keeps = self.held().is_some_and(|(_, _, version)| version == order.version);
@@ -129,7 +141,7 @@
         if taken == 0 {
             self.layers = layers;
         } else {
-            self.loading = Some((Instant::now() + LOAD_TIME * taken / LAYERS, layers));
+            self.loading = Some((Instant::now() + self.load_time * taken / LAYERS, layers));
         }
         Ok(LoadAnswer::Started)
     }
@@ -152,18 +164,30 @@
             orders: 0,
             layers: vec![Some(Layer { version: 1, whole: true }); LAYERS as usize],
             loading: None,
+            load_time: LOAD_TIME,
             pieces: (0..PIECES).map(|index| (index, content(1, index))).collect(),
         };
         Rc::new(Self {
             state: RefCell::new(state),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             has_faults: Cell::new(true),
-            answers_complete: Cell::new(false),
+            answers: Cell::new(OrderAnswers::AsBegun),
             reads: Cell::new(0),
             reads_to_lost: Cell::new(None),
         })
     }
 
+    async fn wait_until_loaded(&self) {
+        let is_loading = || {
+            let mut state = self.state.borrow_mut();
+            state.finish();
+            state.loading.is_some()
+        };
+        while is_loading() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     fn chance(&self, percent: u32) -> bool {
         self.has_faults.get() && self.random.borrow_mut().random_range(0..100) < percent
     }
@@ -288,6 +312,9 @@
         let carried_out = spawn_local(async move {
             sleep(late.unwrap_or_default()).await;
             let answer = engine.state.borrow_mut().carry_out(&sent);
+            if engine.answers.get() == OrderAnswers::OnceComplete {
+                engine.wait_until_loaded().await;
+            }
             if again {
                 sleep(Duration::from_millis(700)).await;
                 let _ = engine.state.borrow_mut().carry_out(&sent);
@@ -298,7 +325,12 @@
         if self.0.chance(10) {
             return Err(EngineError::Unreachable("the answer is lost".to_owned()));
         }
-        if self.0.answers_complete.get() { answer.map(|_| LoadAnswer::InEffect) } else { answer }
+        match self.0.answers.get() {
+            OrderAnswers::AsBegun => answer,
+            OrderAnswers::AsComplete | OrderAnswers::OnceComplete => {
+                answer.map(|_| LoadAnswer::Complete)
+            }
+        }
     }
 }
 
@@ -447,8 +479,9 @@
 }
 
 /// Runs agents beside a faulty engine; returns what went wrong.
-async fn run(seed: u64, mode: Published) -> Result<(), String> {
+async fn run(seed: u64, mode: Published, answers: OrderAnswers) -> Result<(), String> {
     let engine = FaultyEngine::new(seed);
+    engine.answers.set(answers);
     spawn_local(engine.clone().cause_faults());
     let word = Rc::new(Cell::new((1, Some(WeightVersion(1)))));
     let check = async {
@@ -480,13 +513,13 @@
     }
 }
 
-fn simulate(seed: u64, mode: Published) -> Result<(), String> {
+fn simulate(seed: u64, mode: Published, answers: OrderAnswers) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
         .build()
         .expect("a runtime");
-    LocalSet::new().block_on(&runtime, run(seed, mode))
+    LocalSet::new().block_on(&runtime, run(seed, mode, answers))
 }
 
 fn seeds() -> u64 {
@@ -586,13 +619,12 @@
     });
 }
 
-// Guards against an engine that stays out of service because it answers that an order is complete,
-// as it does when it carries one out at once.
-#[test]
-fn orders_answered_as_complete_keep_no_engine_out_of_service() {
+/// Lets an engine's first load take a bad piece, and waits until the engine serves.
+fn serve_after_bad_piece(answers: OrderAnswers, load_time: Duration) {
     block_on(async {
         let (engine, agent) = calm();
-        engine.answers_complete.set(true);
+        engine.answers.set(answers);
+        engine.state.borrow_mut().load_time = load_time;
         agent.activation.report(&*agent.engine).await.expect("a report");
         fetch(&agent).await;
         engine.state.borrow_mut().pieces.insert(0, Bytes::from_static(b"bad"));
@@ -600,12 +632,40 @@
     });
 }
 
+// Guards against an engine that stays out of service because it answers that an order is complete,
+// as it does when it carries one out at once.
+#[test]
+fn orders_answered_as_complete_keep_no_engine_out_of_service() {
+    serve_after_bad_piece(OrderAnswers::AsComplete, LOAD_TIME);
+}
+
+// Guards against the same where the engine answers only once the order is complete.
+#[test]
+fn orders_answered_once_complete_keep_no_engine_out_of_service() {
+    serve_after_bad_piece(OrderAnswers::OnceComplete, LOAD_TIME);
+}
+
+// Guards against the same where that takes longer than the agent waits for the answer.
+#[test]
+fn slow_loads_answered_once_complete_keep_no_engine_out_of_service() {
+    serve_after_bad_piece(OrderAnswers::OnceComplete, ENGINE_TIMEOUT * 3 / 2);
+}
+
 // Guards against engines that serve layers taken from pieces that had gone bad, whatever was slow,
 // late, lost or repeated between the agent and its engine.
 #[test]
 fn faults_let_no_spoilt_layer_serve() {
     for seed in 0..seeds() {
-        let result = simulate(seed, Published::Whole);
+        let result = simulate(seed, Published::Whole, OrderAnswers::AsBegun);
+        assert_eq!(result, Ok(()), "seed {seed}");
+    }
+}
+
+// Guards against the same with engines that answer once an order is complete.
+#[test]
+fn faults_of_engines_that_answer_once_complete_let_no_spoilt_layer_serve() {
+    for seed in 0..seeds() {
+        let result = simulate(seed, Published::Whole, OrderAnswers::OnceComplete);
         assert_eq!(result, Ok(()), "seed {seed}");
     }
 }
@@ -613,6 +673,8 @@
 // Shows that the check above finds spoilt layers if agents publish whatever is loaded.
 #[test]
 fn guard_off_spoilt_layers_serve() {
-    let failed = (0..20).filter(|seed| simulate(*seed, Published::Reported).is_err()).count();
+    let failed = (0..20)
+        .filter(|seed| simulate(*seed, Published::Reported, OrderAnswers::AsBegun).is_err())
+        .count();
     assert!(failed >= 10, "{failed} of 20 seeds");
 }
