Keep acknowledged departures, and drop members that control has forgotten

And an entry that ended while all control instances were killed stayed in the directory for good.

Cause: departures were soft state like all status, but nobody reports a departure twice. The instance that knew of it had it in memory only, a deregistration that reached an instance after its restart was acknowledged and told to nobody, and followers dropped only what they were told to.

A follower that meets an instance which has started anew drops the processes that nobody reports for 3 s of contact, and the backend servers after 15 s; this covers whatever all instances have forgotten.

--- a/crates/egret_control/src/commands.rs
+++ b/crates/egret_control/src/commands.rs
@@ -38,6 +38,10 @@
             Command::OpenTrial { part, trials } => self.open_trial(part, trials),
             Command::ClaimTrial(part) => self.claim_trial(part),
             Command::ReleasePart(part) => self.release_part(part),
+            Command::RecordStatus { update, recorded_at } => {
+                self.recorded.record(update, recorded_at);
+                self.accepted()
+            }
         }
     }
 
--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -5,7 +5,7 @@
 use egret_consensus::{
     Envelope, Index, LogEntry, Member, Membership, Node, Payload, Ready, Role, Snapshot, Term,
 };
-use egret_fleet::StatusUpdate;
+use egret_fleet::{BACKEND_TIMEOUT, StatusUpdate};
 use egret_permits::PermitWant;
 use egret_quarantine::PartsReport;
 use egret_record::{FastMap, MemberId, Revision, WeightVersion};
@@ -102,7 +102,7 @@
 impl Core {
     pub(crate) fn new(parts: CoreParts) -> Self {
         let revision = parts.state.view().revision;
-        Self {
+        let mut core = Self {
             node: parts.node,
             state: parts.state,
             leases: None,
@@ -124,7 +124,9 @@
             revision: watch::Sender::new(revision),
             confirmed: Rc::default(),
             urgent: Rc::default(),
-        }
+        };
+        core.observe_recorded();
+        core
     }
 
     /// Returns the time on the node's clock.
@@ -221,10 +223,14 @@
         }
     }
 
+    /// Makes known which backend servers drain or have departed by the replicated state.
+    fn observe_recorded(&mut self) {
+        let updates: Vec<_> = self.state.recorded_status().cloned().collect();
+        updates.iter().for_each(|update| self.observe(update));
+    }
+
     /// Marks backend servers and processes as gone that have not reported in time.
     fn expire_fleet(&mut self) {
-        /// Tolerates a few lost reports; requests reveal a dead backend server sooner.
-        const BACKEND_TIMEOUT: Duration = Duration::from_secs(15);
         /// About five long polls of an entry or agent.
         const PROCESS_TIMEOUT: Duration = Duration::from_secs(4);
         let now = self.now();
@@ -469,17 +475,24 @@
                 return None;
             }
         };
-        if let Command::Leave { session, reason: LeaveReason::Shutdown } = &command
-            && let Some(leases) = &mut self.leases
-        {
-            leases.release(*session);
+        match &command {
+            Command::Leave { session, reason: LeaveReason::Shutdown } => {
+                if let Some(leases) = &mut self.leases {
+                    leases.release(*session);
+                }
+            }
+            Command::RecordStatus { update, .. } => self.observe(update),
+            _ => {}
         }
         Some(self.state.apply(command))
     }
 
     fn load(&mut self, snapshot: &Snapshot) {
         match State::restore(&snapshot.data) {
-            Ok(state) => self.state = state,
+            Ok(state) => {
+                self.state = state;
+                self.observe_recorded();
+            }
             Err(error) => log::error!("event=snapshot_not_decoded error=\"{error}\""),
         }
     }
--- a/crates/egret_control/src/lib.rs
+++ b/crates/egret_control/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `commands`: commands that change the state.
 //! - `queries`: reads of the state.
 //! - `claims`: requests that may run at most once.
+//! - `recorded_status`: departures that must outlive the instance that acknowledged them.
 //! - `rollout`: assignment of models to backend servers.
 //! - `leases`: leases of entries and agents, known only to the leader.
 //! - `membership_policy`: automatic membership changes.
@@ -35,6 +36,7 @@
 mod program;
 mod quarantine;
 mod queries;
+mod recorded_status;
 mod rollout;
 mod server;
 mod state;
--- a/crates/egret_control/src/local_control.rs
+++ b/crates/egret_control/src/local_control.rs
@@ -11,7 +11,10 @@
 use egret_rpc::{Command, Reply, Request};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::server::{Answer, Server};
+use crate::{
+    recorded_status::RecordedStatus,
+    server::{Answer, Server, unix_time},
+};
 
 /// Why this instance cannot serve a request.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -98,13 +101,16 @@
 
     /// Records a status update of a backend server or process.
     ///
+    /// That a backend server drains or has departed is durable on a quorum when this returns: its
+    /// sender relies on it and may send nothing more.
+    ///
     /// Waits up to `limit` while this instance has no contact to a leader: a sender that is
     /// rejected at once would try all other instances in turn, which have no leader either.
     ///
     /// # Errors
     ///
     /// Returns [`RequestError::NoQuorum`] when this instance belongs to no cluster
-    /// or finds no leader in time, since the update would then reach few processes.
+    /// or finds no leader in time, since the update would then reach few processes or be lost.
     pub async fn observe(
         &self,
         update: &StatusUpdate,
@@ -117,13 +123,23 @@
         loop {
             let notified = urgent.notified();
             if running.core.borrow().is_fresh() {
-                return Ok(());
+                break;
             }
             tokio::select! {
                 () = notified => {}
                 () = sleep_until(deadline) => return Err(RequestError::NoQuorum),
             }
         }
+        let is_recorded = !RecordedStatus::must_hold(update)
+            || running.core.borrow().state.recorded.covers(update);
+        if is_recorded {
+            return Ok(());
+        }
+        let command = Command::RecordStatus { update: update.clone(), recorded_at: unix_time() };
+        match running.call_leader(Request::from(command), deadline).await {
+            Ok(Reply::Accepted { .. }) => Ok(()),
+            _ => Err(RequestError::NoQuorum),
+        }
     }
 
     /// Returns whether a status would replace a backend server of a declared service by one of a
@@ -156,10 +172,10 @@
         let running = self.server.running().ok_or(RequestError::NoQuorum)?;
         let key = StatusKey::Backend(id.to_owned());
         let stamp = running.core.borrow().fleet.fleet.get(&key).map(|known| known.status.stamp());
-        let Some(incarnation) = incarnation.or(stamp.map(|stamp| stamp.incarnation)) else {
-            // This instance does not know the backend server, so it has sent its status to nobody.
-            return Ok(());
-        };
+        // If this instance has just started, others may know the backend server. It started before
+        // now, and a later incarnation starts after now.
+        let incarnation = incarnation.or(stamp.map(|stamp| stamp.incarnation));
+        let incarnation = incarnation.unwrap_or_else(|| unix_time().0);
         self.observe(&StatusUpdate::Gone(key, StatusStamp::end(incarnation)), limit).await
     }
 
--- a/crates/egret_control/src/program.rs
+++ b/crates/egret_control/src/program.rs
@@ -4,7 +4,7 @@
 
 use egret_consensus::{Member, Node, Persisted, Timing};
 use egret_record::MemberId;
-use egret_rpc::{ControlClient, Reply, Request, listen, schema::control};
+use egret_rpc::{Reply, Request, listen, schema::control};
 use egret_settings::ControlSettings;
 use egret_store::{DataFolder, Journal, StoreError};
 use egret_telemetry::{ListenError, MetricsError, bind, serve_metrics};
@@ -87,7 +87,8 @@
         settings.name,
         own.0
     );
-    let server = Server::new(own, Member::new(&settings.name, &settings.address().to_string()));
+    let member = Member::new(&settings.name, &settings.address().to_string());
+    let server = Server::new(own, member, settings.listen.ip());
     let client: control::Client = capnp_rpc::new_client(server.clone());
     tokio::task::spawn_local(listen(listener, client.client));
     attach(LocalControl::new(server.clone())).await?;
@@ -112,11 +113,8 @@
     if !running.core.borrow().may_leave(own) {
         return;
     }
-    let others = running.core.borrow().other_members();
-    let addresses = others.into_iter().map(|(_, address)| address).chain([settings.address()]);
-    let client = ControlClient::new(settings.listen.ip(), addresses.collect());
     let deadline = Instant::now() + LEAVE_TIMEOUT;
-    match client.call(&Request::LeaveCluster(own), deadline).await {
+    match running.call_leader(Request::LeaveCluster(own), deadline).await {
         Ok(Reply::Accepted { .. }) => log::info!("event=cluster_left name={}", settings.name),
         Ok(reply) => log::info!("event=cluster_not_left reply=\"{reply:?}\""),
         Err(error) => log::warn!("event=cluster_not_left error=\"{error}\""),
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    net::IpAddr,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -10,13 +11,13 @@
 use egret_fleet::{FeedCursor, Interest, ProcessKind, StatusUpdate};
 use egret_record::{MemberId, Revision, SessionId};
 use egret_rpc::{
-    Command, LONG_POLL_TIMEOUT, MemberStatus, NO_LEADER_POLL_TIMEOUT, Query, Reply, Request,
-    StatusReply, UnixMillis, Watch, WatchReply, decode, encode, read_envelope, read_member,
-    schema::control, write_member,
+    CallError, Command, ControlClient, LONG_POLL_TIMEOUT, MemberStatus, NO_LEADER_POLL_TIMEOUT,
+    Query, Reply, Request, StatusReply, UnixMillis, Watch, WatchReply, decode, encode,
+    read_envelope, read_member, schema::control, write_member,
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 
 use crate::driver::{Core, Input, MembershipChange};
@@ -33,6 +34,8 @@
 pub(crate) struct Server {
     own: MemberId,
     member: Member,
+    /// The local address of connections to the other instances.
+    local_ip: IpAddr,
     running: Rc<RefCell<Option<Running>>>,
 }
 
@@ -40,6 +43,7 @@
 #[derive(Clone)]
 pub(crate) struct Running {
     pub(crate) core: Rc<RefCell<Core>>,
+    local_ip: IpAddr,
     inbox: mpsc::Sender<Input>,
 }
 
@@ -50,13 +54,13 @@
 }
 
 impl Server {
-    pub(crate) fn new(own: MemberId, member: Member) -> Self {
-        Self { own, member, running: Rc::default() }
+    pub(crate) fn new(own: MemberId, member: Member, local_ip: IpAddr) -> Self {
+        Self { own, member, local_ip, running: Rc::default() }
     }
 
     /// Connects the server to the control loop; it serves the cluster from then on.
     pub(crate) fn start(&self, core: Rc<RefCell<Core>>, inbox: mpsc::Sender<Input>) {
-        self.running.replace(Some(Running { core, inbox }));
+        self.running.replace(Some(Running { core, local_ip: self.local_ip, inbox }));
     }
 
     pub(crate) fn running(&self) -> Option<Running> {
@@ -122,6 +126,25 @@
         }
     }
 
+    /// Sends a request to the leader, which may be this instance, until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] when no leader replied in time.
+    pub(crate) async fn call_leader(
+        &self,
+        request: Request,
+        deadline: Instant,
+    ) -> Result<Reply, CallError> {
+        let local = timeout_at(deadline, self.call(request.clone())).await;
+        if let Ok(Answer::Done(reply)) = local {
+            return Ok(reply);
+        }
+        let others = self.core.borrow().other_members();
+        let addresses = others.into_iter().map(|(_, address)| address).collect();
+        ControlClient::new(self.local_ip, addresses).call(&request, deadline).await
+    }
+
     /// Makes the control loop send the messages that the node has queued.
     pub(crate) async fn wake(&self) {
         let _ = self.inbox.send(Input::Wake).await;
@@ -308,18 +331,25 @@
     }
 }
 
-/// Sets the time of a claim to the leader's clock, whatever the sender wrote.
+/// Sets the time of a command to the leader's clock, whatever the sender wrote.
 fn with_leader_time(command: Command) -> Command {
     match command {
         Command::Claim { key, session, request, .. } => {
-            let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-            let claimed_at = UnixMillis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX));
-            Command::Claim { key, session, request, claimed_at }
+            Command::Claim { key, session, request, claimed_at: unix_time() }
+        }
+        Command::RecordStatus { update, .. } => {
+            Command::RecordStatus { update, recorded_at: unix_time() }
         }
         other => other,
     }
 }
 
+/// Returns the time of day.
+pub(crate) fn unix_time() -> UnixMillis {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    UnixMillis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
+
 fn status(core: &Core) -> StatusReply {
     let membership = core.membership().clone();
     let members = membership
--- a/crates/egret_control/src/state.rs
+++ b/crates/egret_control/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use egret_fleet::StatusUpdate;
 use egret_record::{
     BackendName, Change, Delta, EntryName, Fence, OperationId, RecordName, Revision, SessionId,
     StoredRecord, View, ViewWithoutParts,
@@ -9,7 +10,7 @@
 use egret_rpc::{Compressed, DecodeError, Reply, decode, encode};
 use serde::{Deserialize, Serialize};
 
-use crate::claims::Claims;
+use crate::{claims::Claims, recorded_status::RecordedStatus};
 
 /// Changes kept for session holders that are behind.
 const CHANGES_KEPT: usize = 4_096;
@@ -50,6 +51,8 @@
 
 /// Marks snapshots that include the blocked parts of prompts; no encoding of [`encode`] begins so.
 const WITH_PARTS: u8 = 0xff;
+/// Marks snapshots that include recorded status updates as well.
+const WITH_STATUS: u8 = 0xfe;
 
 /// A snapshot as programs wrote it that could not block parts of prompts.
 #[derive(Deserialize)]
@@ -81,6 +84,7 @@
             next_session: state.next_session,
             next_fence: state.next_fence,
             plan_due: state.plan_due,
+            recorded: RecordedStatus::default(),
         }
     }
 }
@@ -116,6 +120,9 @@
     next_fence: u64,
     /// Whether backend servers joined or left since the last plan.
     pub(crate) plan_due: bool,
+    /// The backend servers that drain or have departed, which snapshots hold beside the rest.
+    #[serde(skip)]
+    pub(crate) recorded: RecordedStatus,
 }
 
 impl State {
@@ -136,11 +143,16 @@
         self.plan_due
     }
 
+    /// Returns the replicated status of backend servers that drain or have departed.
+    pub fn recorded_status(&self) -> impl Iterator<Item = &StatusUpdate> {
+        self.recorded.iter()
+    }
+
     /// Encodes the complete state.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
-        let mut bytes = encode(self);
-        bytes.insert(0, WITH_PARTS);
+        let mut bytes = encode(&(self, &self.recorded));
+        bytes.insert(0, WITH_STATUS);
         bytes
     }
 
@@ -152,6 +164,10 @@
     pub fn restore(bytes: &[u8]) -> Result<Self, DecodeError> {
         match bytes.split_first() {
             None => Ok(Self::default()),
+            Some((&WITH_STATUS, bytes)) => {
+                let (state, recorded) = decode::<(Self, RecordedStatus)>(bytes)?;
+                Ok(Self { recorded, ..state })
+            }
             Some((&WITH_PARTS, state)) => decode(state),
             Some(_) => decode::<StateWithoutParts>(bytes).map(Self::from),
         }
--- a/crates/egret_fleet/src/fleet.rs
+++ b/crates/egret_fleet/src/fleet.rs
@@ -9,6 +9,9 @@
     SuspectedParts,
 };
 
+/// Time without a report after which a backend server is gone. It tolerates a few lost reports;
+/// requests reveal a dead backend server sooner.
+pub const BACKEND_TIMEOUT: Duration = Duration::from_secs(15);
 /// How long a departure is remembered, so that late reports do not undo it.
 const GONE_RETENTION: Duration = Duration::from_secs(120);
 
@@ -47,7 +50,7 @@
     pub fn observe(&mut self, update: &StatusUpdate, now: Duration) -> UpdateKind {
         let key = update.key();
         let earlier = self.known.get(&key);
-        if earlier.is_some_and(|known| !is_later(update, &known.status)) {
+        if earlier.is_some_and(|known| !update.supersedes(&known.status)) {
             return UpdateKind::Stale;
         }
         if let Some(status) = self.implied_departure(update, now) {
@@ -79,7 +82,7 @@
     pub fn implied_departure(&self, update: &StatusUpdate, now: Duration) -> Option<StatusUpdate> {
         let StatusUpdate::Backend(backend) = update else { return None };
         let known = self.known.get(&update.key());
-        if known.is_some_and(|known| !is_later(update, &known.status)) {
+        if known.is_some_and(|known| !update.supersedes(&known.status)) {
             return None;
         }
         let (stamp, id) =
@@ -222,13 +225,3 @@
         })
     }
 }
-
-/// Returns whether `new` supersedes `old`, which has the same key.
-///
-/// Updates are ordered by their stamps, and a departure comes after the report with its stamp. An
-/// expiry has the stamp of the last report, so the next report undoes it. A departure has
-/// [`StatusStamp::end`], so only a later incarnation comes after it.
-fn is_later(new: &StatusUpdate, old: &StatusUpdate) -> bool {
-    let rank = |update: &StatusUpdate| (update.stamp(), matches!(update, StatusUpdate::Gone(..)));
-    rank(new) > rank(old)
-}
--- a/crates/egret_fleet/src/lib.rs
+++ b/crates/egret_fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `status`: the status that backend servers and processes report, and limits by the leader.
 //! - `fleet`: the latest status of each, with its age.
 //! - `feed`: a log of recent status updates for followers.
+//! - `unconfirmed`: members that a source of updates has forgotten.
 //!
 //! ```
 //! use std::time::Duration;
@@ -36,11 +37,13 @@
 mod feed;
 mod fleet;
 mod status;
+mod unconfirmed;
 
 pub use feed::{Feed, FeedCursor, FeedDelta, Interest};
-pub use fleet::{Fleet, KnownStatus, UpdateKind};
+pub use fleet::{BACKEND_TIMEOUT, Fleet, KnownStatus, UpdateKind};
 pub use status::{
     BackendLimit, BackendStatus, EngineStatus, FAST_START_DELAY_MAX, LoadedModel, ProcessKind,
     ProcessStatus, START_DELAY_MAX, StatusKey, StatusStamp, StatusUpdate, SuspectedParts,
     version_of,
 };
+pub use unconfirmed::Unconfirmed;
--- a/crates/egret_fleet/src/status.rs
+++ b/crates/egret_fleet/src/status.rs
@@ -226,6 +226,17 @@
         }
     }
 
+    /// Returns whether this is later than another update about the same key.
+    ///
+    /// Updates are ordered by their stamps, and a departure comes after the report with its stamp. An
+    /// expiry has the stamp of the last report, so the next report undoes it. A departure has
+    /// [`StatusStamp::end`], so only a later incarnation comes after it.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        let rank = |update: &Self| (update.stamp(), matches!(update, Self::Gone(..)));
+        rank(self) > rank(other)
+    }
+
     /// Returns whether this differs from an earlier update in what matters to other processes.
     #[must_use]
     pub(crate) fn differs(&self, earlier: &Self) -> bool {
--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use egret_fleet::{Feed, FeedCursor, Fleet, ProcessStatus, StatusUpdate, UpdateKind};
+use egret_fleet::{Feed, FeedCursor, Fleet, ProcessStatus, StatusUpdate, Unconfirmed, UpdateKind};
 use egret_record::{FastMap, PartList, RateLimit, View, WeightVersion};
 use futures::{StreamExt as _, stream::FuturesUnordered};
 use rand::{RngExt as _, seq::SliceRandom as _};
@@ -75,6 +75,8 @@
     members: RefCell<Vec<SocketAddr>>,
     view: RefCell<View>,
     fleet: RefCell<Fleet>,
+    /// The members of the fleet that an instance which has started anew does not list.
+    unconfirmed: RefCell<Unconfirmed>,
     cursors: RefCell<FastMap<SocketAddr, FeedCursor>>,
     /// Versions of each model's weights, with when they were announced, sorted by version.
     announcements: RefCell<FastMap<String, Vec<(WeightVersion, Duration)>>>,
@@ -101,6 +103,7 @@
             members: RefCell::default(),
             view: RefCell::default(),
             fleet: RefCell::default(),
+            unconfirmed: RefCell::default(),
             cursors: RefCell::default(),
             announcements: RefCell::default(),
             own_status: RefCell::new(status),
@@ -288,18 +291,15 @@
         };
         let reply = timeout(limit, watch_once(&self.connections, address, request)).await;
         match reply {
-            Ok(Ok(reply)) => Some(reply),
+            Ok(Ok(reply)) => return Some(reply),
             Ok(Err(error)) => {
                 log::debug!("event=control_unreachable address={address} error=\"{error}\"");
-                self.connections.remove(address);
-                None
-            }
-            Err(_) => {
-                log::debug!("event=control_timeout address={address}");
-                self.connections.remove(address);
-                None
             }
+            Err(_) => log::debug!("event=control_timeout address={address}"),
         }
+        self.connections.remove(address);
+        self.unconfirmed.borrow_mut().set_contact(false, self.now());
+        None
     }
 
     /// Applies a reply. Returns whether the instance that sent it has a leader.
@@ -330,13 +330,20 @@
         }
         let mut changed = false;
         let mut fleet = self.fleet.borrow_mut();
-        for update in &reply.feed.updates {
-            if fleet.observe(update, now) == UpdateKind::Change {
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        let known = self.cursors.borrow().get(&address).map(|cursor| cursor.epoch);
+        if known != Some(reply.feed.cursor.epoch) {
+            unconfirmed.restart(&fleet);
+        }
+        unconfirmed.set_contact(reply.has_leader, now);
+        reply.feed.updates.iter().for_each(|update| unconfirmed.confirm(update));
+        for update in reply.feed.updates.into_iter().chain(unconfirmed.departures(&fleet, now)) {
+            if fleet.observe(&update, now) == UpdateKind::Change {
                 changed = true;
-                log_update(update);
+                log_update(&update);
             }
         }
-        drop(fleet);
+        drop((fleet, unconfirmed));
         counts.fleets += u64::from(changed);
         self.cursors.borrow_mut().insert(address, reply.feed.cursor);
         if !reply.members.is_empty() {
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -11,7 +11,7 @@
 };
 
 use egret_consensus::Membership;
-use egret_fleet::{FeedCursor, FeedDelta, ProcessStatus};
+use egret_fleet::{FeedCursor, FeedDelta, ProcessStatus, StatusUpdate};
 use egret_permits::{PermitGrant, PermitWant};
 use egret_quarantine::PartsReport;
 use egret_record::{
@@ -377,6 +377,14 @@
     ClaimTrial(PartId),
     /// Releases a blocked part.
     ReleasePart(PartId),
+    /// Records that a backend server drains or has departed, before that is acknowledged.
+    RecordStatus {
+        /// What it reported.
+        update: StatusUpdate,
+        /// When it is recorded; the leader sets it from its own clock.
+        #[serde(rename = "at")]
+        recorded_at: UnixMillis,
+    },
 }
 
 /// A read of the control state.
