--- a/crates/egret_loader/src/fetch.rs
+++ b/crates/egret_loader/src/fetch.rs
@@ -145,7 +145,7 @@
         let (mut corrupt, mut slowest, mut unanswered) = (0, Duration::ZERO, Vec::new());
         let checks = stream::iter(indexes).map(async |index| {
             let asked = Instant::now();
-            let read = self.engine.read(&staged.target.model, index).await;
+            let read = self.staging.read(&*self.engine, &staged.target.model, index).await;
             let is_intact = |content: Option<Bytes>| {
                 content.is_some_and(|content| staged.list.accepts(index, &content))
             };
--- a/crates/egret_loader/src/peer.rs
+++ b/crates/egret_loader/src/peer.rs
@@ -187,7 +187,7 @@
         if !staged.contains(index) {
             return None;
         }
-        match self.engine.read(&staged.target.model, index).await {
+        match self.staging.read(&*self.engine, &staged.target.model, index).await {
             Ok(Some(content)) if staged.list.accepts(index, &content) => Some(content),
             Ok(_) => {
                 log::warn!("event=piece_corrupt piece={index} version={}", staged.target.version);
--- a/crates/egret_loader/src/staging.rs
+++ b/crates/egret_loader/src/staging.rs
@@ -6,9 +6,15 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use egret_record::{VersionDigest, WeightVersion};
 use egret_weights::PieceList;
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::{Semaphore, watch},
+    time::Instant,
+};
+
+use crate::engine::{Engine, EngineError};
 
 /// A version of a model.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -106,6 +112,20 @@
     }
 }
 
+/// Maximum number of pieces that are read back from the engine at the same time, for this agent and
+/// for others: an engine may answer with much more than a piece.
+const READS_MAX: usize = 12;
+
+/// Permits to read pieces back from the engine.
+#[derive(Debug)]
+struct ReadPermits(Semaphore);
+
+impl Default for ReadPermits {
+    fn default() -> Self {
+        Self(Semaphore::new(READS_MAX))
+    }
+}
+
 /// The version that this agent offers to other agents.
 #[derive(Debug, Default)]
 pub struct Staging {
@@ -116,9 +136,21 @@
     pub(crate) sent: Cell<u64>,
     /// The last known failure of the origin, seen here or by a peer.
     origin_failure: Cell<Option<Instant>>,
+    reads: ReadPermits,
 }
 
 impl Staging {
+    /// Reads a piece back from the engine, after at most [`READS_MAX`] others.
+    pub(crate) async fn read(
+        &self,
+        engine: &impl Engine,
+        model: &str,
+        index: u32,
+    ) -> Result<Option<Bytes>, EngineError> {
+        let _permit = self.reads.0.acquire().await;
+        engine.read(model, index).await
+    }
+
     pub(crate) fn get(&self) -> Option<std::rc::Rc<StagedVersion>> {
         self.version.borrow().clone()
     }
