Take no response whose head continues another one

Cause: "HTTP/1.1 200 O" and the next response's "HTTP/1.1 500 Internal Server Error" make one valid status line; the same happens within a header whose value may be any text. All other headers are those of the true response, so the head names the request, which counted as proof.

Fix: a head in which a reason phrase or a header's value contains another status line is no response. Entries try again as after any response that is none and close the connection; the client of engines and origin returns an error.

What connection reuse costs at servers that spoil responses is not measured.

--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use egret_fleet::START_DELAY_MAX;
+use egret_http::is_joined;
 use egret_record::PartList;
 use egret_route::Failure;
 use http::{
@@ -135,6 +136,13 @@
             return Outcome::Broken;
         }
     };
+    if is_joined(&response) {
+        // Neither its status nor its headers are those of one response.
+        outcome("joined", &format_args!("reused={}", connection.reused));
+        backend.close_idle();
+        backend.breaker.borrow_mut().record_failure(Failure::BadResponse, gateway.now());
+        return Outcome::Broken;
+    }
     let (head, body) = response.into_parts();
     let meta = gateway.protocol.backend_head(&head);
     gateway.record_back_off(backend, &meta);
--- a/crates/egret_http/src/client.rs
+++ b/crates/egret_http/src/client.rs
@@ -13,6 +13,8 @@
 };
 use thiserror::Error;
 
+use crate::joined::is_joined;
+
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which an idle connection is kept.
@@ -97,13 +99,18 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.client.request(request).await.map_err(|error| {
+        let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 SendError::NotSent(error.to_string())
             } else {
                 SendError::MaybeSent(error.to_string())
             }
-        })
+        })?;
+        if is_joined(&response) {
+            let reason = "the head of the response continues that of another one";
+            return Err(SendError::MaybeSent(reason.to_owned()));
+        }
+        Ok(response)
     }
 }
 
--- a/crates/egret_http/src/lib.rs
+++ b/crates/egret_http/src/lib.rs
@@ -3,16 +3,19 @@
 //! - `client`: an HTTP/1.1 client whose errors tell whether a request may have been sent.
 //! - `events`: the framing of event streams.
 //! - `headers`: the header names.
+//! - `joined`: heads that two responses make up together.
 //! - `listener`: a listener that disables Nagle's algorithm.
 //! - `respond`: responses, among them those to refused requests.
 
 mod client;
 mod events;
 pub mod headers;
+mod joined;
 mod listener;
 mod respond;
 
 pub use client::{HttpClient, ReadError, SendError, read_whole};
 pub use events::{EVENT_BYTES_MAX, Event, EventReader};
+pub use joined::is_joined;
 pub use listener::NoDelayListener;
 pub use respond::{json, refuse, response};
