Review: one spoilt list of digests keeps a version from ever loading

Shown: a single digit changed in one answer of the origin with the digests of a version is kept by all agents for as long as that version is wanted; no runner loads it, and once version_ms is over all streams are refused.

--- /dev/null
+++ b/review/tool-2/src/cases/mod.rs
@@ -0,0 +1,15 @@
+//! The cases.
+
+mod digests;
+
+use std::io;
+
+use crate::{Verdict, record::Record};
+
+/// Runs a case by its name.
+pub fn run(case: &str, record: &Record, trouble: bool) -> io::Result<Verdict> {
+    match case {
+        "digests" => digests::run(record, trouble),
+        _ => Err(io::Error::other(format!("no case {case:?}"))),
+    }
+}
--- /dev/null
+++ b/review/tool-2/src/engine.rs
@@ -0,0 +1,268 @@
+//! A model runner that loads staged pieces, and the origin of its weights.
+
+use std::{
+    collections::BTreeMap,
+    io::{self, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    ops::Range,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread::{self, sleep},
+    time::{Duration, Instant},
+};
+
+use egret_weights::PieceDigest;
+use serde_json::{Value, json};
+
+use crate::{
+    deploy::Deployment,
+    http::{self, Request, answer},
+    plain::{signature, unix_ms},
+    record::Record,
+};
+
+pub const MODEL: &str = "daka510000";
+pub const PIECES: u32 = 96;
+pub const PIECE_BYTES: usize = 24_576;
+const LAYERS: u32 = 16;
+/// Time to load all layers.
+const LOAD_TIME: Duration = Duration::from_millis(300);
+const EVENTS: u64 = 6;
+const EVENT_PERIOD: Duration = Duration::from_millis(40);
+
+/// The content of a piece.
+pub fn content(version: u64, index: u32) -> Vec<u8> {
+    let text = format!("piece {index} of version {version}\n");
+    text.bytes().cycle().take(PIECE_BYTES).collect()
+}
+
+struct State {
+    born: u64,
+    orders: u64,
+    /// The layers that are loaded, and their version.
+    held: Option<(Range<u32>, u64)>,
+    loading: Option<(Instant, Range<u32>, u64)>,
+    pieces: BTreeMap<u32, Vec<u8>>,
+}
+
+impl State {
+    fn finish_loading(&mut self) {
+        if let Some((done, layers, version)) = self.loading.clone()
+            && Instant::now() >= done
+        {
+            self.held = Some((layers, version));
+            self.loading = None;
+        }
+    }
+
+    fn version(&mut self) -> Option<u64> {
+        self.finish_loading();
+        let (layers, version) = self.held.clone()?;
+        (layers == (0..LAYERS) && self.loading.is_none()).then_some(version)
+    }
+
+    fn order(&mut self, order: &Value) -> u16 {
+        self.finish_loading();
+        let expected = order["expected"].as_u64();
+        if self.loading.is_some() || expected.is_some_and(|expected| expected != self.orders) {
+            return 409;
+        }
+        let (Some("start"), Some(version)) = (order["op"].as_str(), order["version"].as_u64())
+        else {
+            return 400;
+        };
+        let bound = |name: &str, default: u32| {
+            order[name].as_u64().and_then(|layer| u32::try_from(layer).ok()).unwrap_or(default)
+        };
+        let wanted = bound("from", 0)..bound("target", LAYERS);
+        if self.held.as_ref() == Some(&(wanted.clone(), version)) {
+            return 200;
+        }
+        self.orders += 1;
+        self.held = self.held.take().filter(|(_, held)| *held == version);
+        let time = LOAD_TIME * (wanted.end - wanted.start) / LAYERS;
+        self.loading = Some((Instant::now() + time, wanted, version));
+        202
+    }
+
+    fn report(&mut self) -> Value {
+        self.finish_loading();
+        let held = self.held.clone();
+        let models: Vec<_> = held
+            .iter()
+            .map(|(_, version)| json!({ "name": MODEL, "version": version, "adapters": [] }))
+            .collect();
+        let layers = held.map(|(layers, version)| {
+            json!({ "from": layers.start, "target": layers.end, "version": version })
+        });
+        json!({
+            "phase": "both", "models": models, "layers": layers, "busy": self.loading.is_some(),
+            "seq": self.orders, "queued": 0, "active": 0, "kv_used": 0, "kv_total": 1_640_000,
+            "handles": 0, "born": self.born,
+        })
+    }
+}
+
+/// A model runner.
+#[derive(Clone)]
+pub struct Engine {
+    id: String,
+    pub address: SocketAddr,
+    zone: &'static str,
+    state: Arc<Mutex<State>>,
+    record: Record,
+}
+
+impl Engine {
+    /// Starts a runner that holds version 1, which is also staged.
+    pub fn start(
+        id: String,
+        zone: &'static str,
+        listener: TcpListener,
+        record: &Record,
+    ) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        let state = State {
+            born: unix_ms(),
+            orders: 0,
+            held: Some((0..LAYERS, 1)),
+            loading: None,
+            pieces: (0..PIECES).map(|index| (index, content(1, index))).collect(),
+        };
+        let record = record.clone();
+        let engine = Self { id, address, zone, state: Arc::new(Mutex::new(state)), record };
+        let served = engine.clone();
+        http::serve(listener, Arc::new(move |request, stream| served.answer(request, stream)));
+        Ok(engine)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the version that it holds whole.
+    pub fn version(&self) -> Option<u64> {
+        self.state().version()
+    }
+
+    /// Reports its status all the time.
+    pub fn report_to(&self, deployment: &Arc<Deployment>) {
+        let (engine, deployment) = (self.clone(), Arc::downgrade(deployment));
+        thread::spawn(move || {
+            for seq in 1_u64.. {
+                let Some(deployment) = deployment.upgrade() else { return };
+                let mut status = json!({
+                    "service": "huvo11a", "addr": engine.address, "zone": engine.zone,
+                    "version": "v1", "slots": 16, "state": "ready", "cold_left_ms": 0,
+                    "phase": "both", "seq": seq,
+                });
+                let report = engine.state().report();
+                for field in ["models", "layers", "born"] {
+                    status[field] = report[field].clone();
+                }
+                deployment.report(&engine.id, &status);
+                drop(deployment);
+                sleep(Duration::from_millis(1_200));
+            }
+        });
+    }
+
+    fn answer(&self, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
+        let index = request.query("num").and_then(|index| index.parse::<u32>().ok());
+        let bytes = match (request.method.as_str(), request.path(), index) {
+            ("GET", "/v1/report", _) => {
+                answer(200, "", self.state().report().to_string().as_bytes())
+            }
+            ("GET", path, None) if path.starts_with("/v1/stage-get/") => {
+                let held: Vec<u32> = self.state().pieces.keys().copied().collect();
+                answer(200, "", json!({ "held": held }).to_string().as_bytes())
+            }
+            ("GET", path, Some(index)) if path.starts_with("/v1/stage-get/") => {
+                match self.state().pieces.get(&index) {
+                    Some(piece) => answer(200, "", piece),
+                    None => answer(404, "", b""),
+                }
+            }
+            ("PUT", path, Some(index)) if path.starts_with("/v1/stage-put/") => {
+                self.state().pieces.insert(index, request.body.clone());
+                answer(200, "", b"")
+            }
+            ("POST", "/v1/order", _) => {
+                let order = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
+                let status = self.state().order(&order);
+                self.record.write(format_args!("{} answers {status} to order {order}", self.id));
+                answer(status, "", b"")
+            }
+            (_, "/healthz", _) => answer(200, &format!("X-Instance: {}\r\n", self.id), b""),
+            _ => return self.run(request, stream),
+        };
+        stream.write_all(&bytes)?;
+        Ok(true)
+    }
+
+    /// Runs a request of a client.
+    fn run(&self, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
+        let version = self.version();
+        let expected = request.header("x-expect-version").and_then(|text| text.parse().ok());
+        let is_other = request.header("x-expect-instance").is_some_and(|id| id != self.id);
+        let rejected = match version {
+            _ if is_other => Some(421),
+            None => Some(503),
+            Some(version) if expected.is_some_and(|expected: u64| expected != version) => Some(421),
+            Some(_) => None,
+        };
+        if let Some(status) = rejected {
+            let headers = format!("X-Request-Id: {}\r\nX-Not-Run: 1\r\n", request.id());
+            stream.write_all(&answer(status, &headers, b""))?;
+            return Ok(true);
+        }
+        let version = version.unwrap_or_default();
+        self.record.write(format_args!("{} runs {} on version {version}", self.id, request.id()));
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\n\
+             X-Weight-Versions: {version}\r\nTransfer-Encoding: chunked\r\n\r\n",
+            signature(request)
+        )?;
+        let last = request.header("last-event-id").and_then(|last| last.parse().ok());
+        for id in last.map_or(1, |last: u64| last + 1)..=EVENTS {
+            sleep(EVENT_PERIOD);
+            let event = format!("id: {id}\ndata: piece {id}\n\n");
+            write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
+        }
+        stream.write_all(b"0\r\n\r\n")?;
+        Ok(true)
+    }
+}
+
+/// Starts the origin of the weights; `spoil` may change the text of an answer with digests.
+pub fn start_origin(
+    listener: TcpListener,
+    spoil: impl Fn(u64, String) -> String + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
+    let address = listener.local_addr()?;
+    http::serve(
+        listener,
+        Arc::new(move |request, stream| {
+            let number = |name: &str| request.query(name).and_then(|value| value.parse().ok());
+            let version: u64 = number("version").unwrap_or(1);
+            let bytes = if request.path().starts_with("/v1/manifest/") {
+                let digest = |index| PieceDigest::of(&content(version, index)).0;
+                let hex = |digest: [u8; 32]| -> String {
+                    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+                };
+                let digests: Vec<_> = (0..PIECES).map(|index| hex(digest(index))).collect();
+                let text = json!({
+                    "model": MODEL, "version": version, "chunk_bytes": PIECE_BYTES,
+                    "layers": LAYERS, "digests": digests,
+                });
+                answer(200, "", spoil(version, text.to_string()).as_bytes())
+            } else {
+                let index = number("num").and_then(|index| u32::try_from(index).ok());
+                answer(200, "", &content(version, index.unwrap_or_default()))
+            };
+            stream.write_all(&bytes)?;
+            Ok(true)
+        }),
+    );
+    Ok(address)
+}
