Review: after a restart of all, answers are made with a spoilt layer

Shown: a runner that loads takes a piece which has been bad for over 3 s; all processes are killed before the agent's check after the order, and the new entries take the runner's own word for its weights until the new agent has read the pieces back.

--- a/review/tool-2/src/cases/digests.rs
+++ b/review/tool-2/src/cases/digests.rs
@@ -128,7 +128,13 @@
     let mut engines = Vec::new();
     for (index, zone) in ZONES.into_iter().enumerate() {
         let host = 80 + u8::try_from(index).unwrap_or_default();
-        engines.push(Engine::start(format!("i-{host:08x}"), zone, draft.listener(host)?, record)?);
+        engines.push(Engine::start(
+            format!("i-{host:08x}"),
+            true,
+            zone,
+            draft.listener(host)?,
+            record,
+        )?);
     }
     let apps: Vec<_> = engines.iter().enumerate().map(|(zone, it)| (it.address, zone)).collect();
     let deployment = Arc::new(Deployment::prepare(record, 2, &apps)?);
--- a/review/tool-2/src/cases/mod.rs
+++ b/review/tool-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod digests;
+mod whole;
 
 use std::io;
 
@@ -10,6 +11,7 @@
 pub fn run(case: &str, record: &Record, trouble: bool) -> io::Result<Verdict> {
     match case {
         "digests" => digests::run(record, trouble),
+        "whole" => whole::run(record, trouble),
         _ => Err(io::Error::other(format!("no case {case:?}"))),
     }
 }
--- a/review/tool-2/src/deploy.rs
+++ b/review/tool-2/src/deploy.rs
@@ -216,6 +216,27 @@
         Ok(())
     }
 
+    /// Kills all processes at the same moment.
+    pub fn kill_all(&self) {
+        if let Ok(mut children) = CHILDREN.lock() {
+            children.iter_mut().for_each(|(_, child)| drop(child.kill()));
+            for (_, mut child) in children.drain(..) {
+                let _ = child.wait();
+            }
+        }
+        self.record.write("platform has killed all processes");
+    }
+
+    /// Starts all processes again, with the settings of an existing system.
+    pub fn restart_all(&self) -> io::Result<()> {
+        for machine in self.cores.iter().chain(&self.edges).chain(&self.sides) {
+            let mut machine = machine.clone();
+            machine.extra["bootstrap"] = json!(false);
+            self.start(&machine)?;
+        }
+        Ok(())
+    }
+
     /// Sends an order of the operator until it is acknowledged.
     pub fn order(&self, path: &str, body: &str) -> io::Result<()> {
         self.wait(path, Duration::from_secs(15), || {
--- a/review/tool-2/src/engine.rs
+++ b/review/tool-2/src/engine.rs
@@ -1,7 +1,7 @@
 //! A model runner that loads staged pieces, and the origin of its weights.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io::{self, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     ops::Range,
@@ -24,8 +24,17 @@
 pub const PIECES: u32 = 96;
 pub const PIECE_BYTES: usize = 24_576;
 const LAYERS: u32 = 16;
+/// What the link of the origin carries in a second.
+const ORIGIN_BITS: f64 = 7_300_000.0;
+/// Time to read a staged piece back.
+const READ_TIME: Duration = Duration::from_millis(20);
+/// Time between two status reports, and before the next try of one that no daemon acknowledged.
+const REPORT_PERIOD: Duration = Duration::from_millis(1_200);
+const REPORT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time to load all layers.
 const LOAD_TIME: Duration = Duration::from_millis(300);
+/// Time for which a piece may be bad when it is taken.
+const EXCUSED: Duration = Duration::from_secs(3);
 const EVENTS: u64 = 6;
 const EVENT_PERIOD: Duration = Duration::from_millis(40);
 
@@ -38,26 +47,55 @@
 struct State {
     born: u64,
     orders: u64,
-    /// The layers that are loaded, and their version.
-    held: Option<(Range<u32>, u64)>,
-    loading: Option<(Instant, Range<u32>, u64)>,
-    pieces: BTreeMap<u32, Vec<u8>>,
+    held: Option<Held>,
+    loading: Option<(Instant, Held)>,
+    pieces: BTreeMap<u32, Staged>,
+}
+
+/// The layers that are loaded.
+#[derive(Debug, Clone)]
+struct Held {
+    layers: Range<u32>,
+    version: u64,
+    /// Layers that were taken while one of their pieces had been missing or bad for longer than is
+    /// excused.
+    spoilt: Vec<u32>,
+}
+
+/// A piece that lies at the runner.
+struct Staged {
+    content: Vec<u8>,
+    since: Instant,
+}
+
+impl Staged {
+    fn new(content: Vec<u8>) -> Self {
+        Self { content, since: Instant::now() }
+    }
 }
 
 impl State {
     fn finish_loading(&mut self) {
-        if let Some((done, layers, version)) = self.loading.clone()
-            && Instant::now() >= done
-        {
-            self.held = Some((layers, version));
-            self.loading = None;
+        if let Some((_, held)) = self.loading.take_if(|(done, _)| Instant::now() >= *done) {
+            self.held = Some(held);
         }
     }
 
     fn version(&mut self) -> Option<u64> {
         self.finish_loading();
-        let (layers, version) = self.held.clone()?;
-        (layers == (0..LAYERS) && self.loading.is_none()).then_some(version)
+        let held = self.held.as_ref().filter(|held| held.layers == (0..LAYERS))?;
+        self.loading.is_none().then_some(held.version)
+    }
+
+    /// Returns whether a layer is spoilt if it is taken now.
+    fn is_spoilt(&self, layer: u32, version: u64) -> bool {
+        let pieces = layer * PIECES / LAYERS..((layer + 1) * PIECES).div_ceil(LAYERS);
+        pieces.into_iter().any(|index| match self.pieces.get(&index) {
+            None => true,
+            Some(staged) => {
+                staged.content != content(version, index) && staged.since.elapsed() > EXCUSED
+            }
+        })
     }
 
     fn order(&mut self, order: &Value) -> u16 {
@@ -74,13 +112,19 @@
             order[name].as_u64().and_then(|layer| u32::try_from(layer).ok()).unwrap_or(default)
         };
         let wanted = bound("from", 0)..bound("target", LAYERS);
-        if self.held.as_ref() == Some(&(wanted.clone(), version)) {
+        if self.held.as_ref().is_some_and(|held| held.layers == wanted && held.version == version) {
             return 200;
         }
         self.orders += 1;
-        self.held = self.held.take().filter(|(_, held)| *held == version);
+        self.held.take_if(|held| held.version != version);
+        let spoilt = wanted.clone().filter(|layer| match &self.held {
+            Some(held) if held.layers.contains(layer) => held.spoilt.contains(layer),
+            _ => self.is_spoilt(*layer, version),
+        });
+        let spoilt = spoilt.collect();
         let time = LOAD_TIME * (wanted.end - wanted.start) / LAYERS;
-        self.loading = Some((Instant::now() + time, wanted, version));
+        let held = Held { layers: wanted, version, spoilt };
+        self.loading = Some((Instant::now() + time, held));
         202
     }
 
@@ -89,9 +133,9 @@
         let held = self.held.clone();
         let models: Vec<_> = held
             .iter()
-            .map(|(_, version)| json!({ "name": MODEL, "version": version, "adapters": [] }))
+            .map(|held| json!({ "name": MODEL, "version": held.version, "adapters": [] }))
             .collect();
-        let layers = held.map(|(layers, version)| {
+        let layers = held.map(|Held { layers, version, .. }| {
             json!({ "from": layers.start, "target": layers.end, "version": version })
         });
         json!({
@@ -110,12 +154,17 @@
     zone: &'static str,
     state: Arc<Mutex<State>>,
     record: Record,
+    /// Time to read a staged piece back.
+    read_time: Duration,
+    /// Ids of requests that it answered with a spoilt layer.
+    spoilt_answers: Arc<Mutex<Vec<String>>>,
 }
 
 impl Engine {
-    /// Starts a runner that holds version 1, which is also staged.
+    /// Starts a runner; it holds version 1, which is also staged, if `loaded` is set.
     pub fn start(
         id: String,
+        loaded: bool,
         zone: &'static str,
         listener: TcpListener,
         record: &Record,
@@ -124,12 +173,23 @@
         let state = State {
             born: unix_ms(),
             orders: 0,
-            held: Some((0..LAYERS, 1)),
+            held: loaded.then_some(Held { layers: 0..LAYERS, version: 1, spoilt: Vec::new() }),
             loading: None,
-            pieces: (0..PIECES).map(|index| (index, content(1, index))).collect(),
+            pieces: (0..if loaded { PIECES } else { 0 })
+                .map(|index| (index, Staged::new(content(1, index))))
+                .collect(),
         };
         let record = record.clone();
-        let engine = Self { id, address, zone, state: Arc::new(Mutex::new(state)), record };
+        let state = Arc::new(Mutex::new(state));
+        let engine = Self {
+            id,
+            address,
+            zone,
+            state,
+            record,
+            read_time: READ_TIME,
+            spoilt_answers: Arc::default(),
+        };
         let served = engine.clone();
         http::serve(listener, Arc::new(move |request, stream| served.answer(request, stream)));
         Ok(engine)
@@ -144,6 +204,30 @@
         self.state().version()
     }
 
+    /// Returns the pieces that lie at the runner.
+    pub fn staged(&self) -> BTreeSet<u32> {
+        self.state().pieces.keys().copied().collect()
+    }
+
+    /// Lets a piece that lies at the runner turn bad.
+    pub fn rot(&self, index: u32) {
+        if let Some(staged) = self.state().pieces.get_mut(&index) {
+            staged.content[0] ^= 1;
+            staged.since = Instant::now();
+        }
+        self.record.write(format_args!("piece {index} turns bad at {}", self.id));
+    }
+
+    /// Returns how many orders it has accepted.
+    pub fn orders(&self) -> u64 {
+        self.state().orders
+    }
+
+    /// Returns the answers that it began with a spoilt layer.
+    pub fn spoilt_answers(&self) -> Vec<String> {
+        self.spoilt_answers.lock().map(|answers| answers.clone()).unwrap_or_default()
+    }
+
     /// Reports its status all the time.
     pub fn report_to(&self, deployment: &Arc<Deployment>) {
         let (engine, deployment) = (self.clone(), Arc::downgrade(deployment));
@@ -159,9 +243,9 @@
                 for field in ["models", "layers", "born"] {
                     status[field] = report[field].clone();
                 }
-                deployment.report(&engine.id, &status);
+                let acknowledged = deployment.report(&engine.id, &status);
                 drop(deployment);
-                sleep(Duration::from_millis(1_200));
+                sleep(if acknowledged { REPORT_PERIOD } else { REPORT_RETRY_DELAY });
             }
         });
     }
@@ -177,13 +261,14 @@
                 answer(200, "", json!({ "held": held }).to_string().as_bytes())
             }
             ("GET", path, Some(index)) if path.starts_with("/v1/stage-get/") => {
+                sleep(self.read_time);
                 match self.state().pieces.get(&index) {
-                    Some(piece) => answer(200, "", piece),
+                    Some(staged) => answer(200, "", &staged.content),
                     None => answer(404, "", b""),
                 }
             }
             ("PUT", path, Some(index)) if path.starts_with("/v1/stage-put/") => {
-                self.state().pieces.insert(index, request.body.clone());
+                self.state().pieces.insert(index, Staged::new(request.body.clone()));
                 answer(200, "", b"")
             }
             ("POST", "/v1/order", _) => {
@@ -216,7 +301,17 @@
             return Ok(true);
         }
         let version = version.unwrap_or_default();
-        self.record.write(format_args!("{} runs {} on version {version}", self.id, request.id()));
+        let spoilt = self.state().held.as_ref().map(|held| held.spoilt.clone()).unwrap_or_default();
+        self.record.write(format_args!(
+            "{} runs {} on version {version}, spoilt layers {spoilt:?}",
+            self.id,
+            request.id()
+        ));
+        if !spoilt.is_empty()
+            && let Ok(mut answers) = self.spoilt_answers.lock()
+        {
+            answers.push(request.id().to_owned());
+        }
         write!(
             stream,
             "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\n\
@@ -240,6 +335,7 @@
     spoil: impl Fn(u64, String) -> String + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
     let address = listener.local_addr()?;
+    let link = Mutex::new(());
     http::serve(
         listener,
         Arc::new(move |request, stream| {
@@ -260,6 +356,10 @@
                 let index = number("num").and_then(|index| u32::try_from(index).ok());
                 answer(200, "", &content(version, index.unwrap_or_default()))
             };
+            {
+                let _link = link.lock();
+                sleep(Duration::from_secs_f64(bytes.len() as f64 * 8.0 / ORIGIN_BITS));
+            }
             stream.write_all(&bytes)?;
             Ok(true)
         }),
