Review: a core machine lost at the first start stops the system for good

Shown: the cluster forms only when all three listed seeds answer. If one is lost for good before that, and replaced by an empty one at another address, the others wait for it for ever, and no manifest is ever acknowledged.

--- a/review/tool-2/src/cases/mod.rs
+++ b/review/tool-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod digests;
+mod start;
 mod whole;
 
 use std::io;
@@ -11,6 +12,7 @@
 pub fn run(case: &str, record: &Record, trouble: bool) -> io::Result<Verdict> {
     match case {
         "digests" => digests::run(record, trouble),
+        "start" => start::run(record, trouble),
         "whole" => whole::run(record, trouble),
         _ => Err(io::Error::other(format!("no case {case:?}"))),
     }
--- a/review/tool-2/src/deploy.rs
+++ b/review/tool-2/src/deploy.rs
@@ -227,6 +227,45 @@
         self.record.write("platform has killed all processes");
     }
 
+    /// Kills the process of a machine, which does not come back.
+    pub fn kill(&self, machine: &Machine) {
+        if let Ok(mut children) = CHILDREN.lock() {
+            for (_, mut child) in children.extract_if(.., |(name, _)| *name == machine.name) {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        self.record.write(format_args!("platform has killed {}", machine.name));
+    }
+
+    /// Returns an empty machine that replaces a core machine, at another address.
+    pub fn spare_core(&self, machine: &Machine) -> io::Result<Machine> {
+        let [first, second, third] = self.base;
+        let data = self.folder.join("data-spare");
+        fs::create_dir_all(&data)?;
+        Ok(Machine {
+            name: format!("{}-spare", machine.name),
+            ip: IpAddr::V4(Ipv4Addr::new(first, second, third, 30)),
+            extra: json!({ "data_dir": data, "bootstrap": false }),
+            ..machine.clone()
+        })
+    }
+
+    /// Writes the settings of all machines anew, with the present seeds, and says so by SIGHUP.
+    pub fn settings_changed(&self) -> io::Result<()> {
+        for machine in self.cores.iter().chain(&self.edges).chain(&self.sides) {
+            let file = self.folder.join(format!("{}.yaml", machine.name));
+            fs::write(&file, self.settings(machine).to_string())?;
+        }
+        let children = CHILDREN.lock().map_err(|_| ErrorKind::Other)?;
+        for (name, child) in children.iter() {
+            let id = child.id().to_string();
+            Command::new("kill").args(["-HUP", &id]).status()?;
+            self.record.write(format_args!("platform sends SIGHUP to {name}"));
+        }
+        Ok(())
+    }
+
     /// Starts all processes again, with the settings of an existing system.
     pub fn restart_all(&self) -> io::Result<()> {
         for machine in self.cores.iter().chain(&self.edges).chain(&self.sides) {
@@ -239,7 +278,12 @@
 
     /// Sends an order of the operator until it is acknowledged.
     pub fn order(&self, path: &str, body: &str) -> io::Result<()> {
-        self.wait(path, Duration::from_secs(15), || {
+        self.order_within(path, body, Duration::from_secs(15))
+    }
+
+    /// Sends an order of the operator until it is acknowledged, for `limit` at most.
+    pub fn order_within(&self, path: &str, body: &str, limit: Duration) -> io::Result<()> {
+        self.wait(path, limit, || {
             self.cores.iter().any(|core| {
                 let status = call_control(core.control(), path, body);
                 matches!(status, Some(200..=299))
