--- a/review/tool-2/src/cases/mod.rs
+++ b/review/tool-2/src/cases/mod.rs
@@ -1,6 +1,5 @@
 //! The cases.
 
-mod digests;
 mod start;
 mod whole;
 
@@ -11,7 +10,6 @@
 /// Runs a case by its name.
 pub fn run(case: &str, record: &Record, trouble: bool) -> io::Result<Verdict> {
     match case {
-        "digests" => digests::run(record, trouble),
         "start" => start::run(record, trouble),
         "whole" => whole::run(record, trouble),
         _ => Err(io::Error::other(format!("no case {case:?}"))),
--- a/review/tool-2/src/cases/whole.rs
+++ b/review/tool-2/src/cases/whole.rs
@@ -13,7 +13,7 @@
 use crate::{
     Verdict,
     deploy::{Deployment, HOST, KEY, manifest},
-    engine::{Engine, MODEL, PIECE_BYTES, PIECES, start_origin},
+    engine::{EVENTS, Engine, MODEL, PIECE_BYTES, PIECES, start_origin},
     http,
     record::Record,
 };
@@ -21,7 +21,7 @@
 const ZONES: [&str; 3] = ["xela-a", "guate-a", "peten-a"];
 /// Runners of the service, as on the site.
 const RUNNERS: usize = 11;
-const CLIENTS: u64 = 16;
+const CLIENTS: u64 = 24;
 const PAUSE: Duration = Duration::from_millis(50);
 /// Time from the accepted order to the kill; loading takes 0.3 s.
 const KILL_DELAY: Duration = Duration::from_millis(150);
@@ -30,15 +30,19 @@
 /// Time for which clients go on.
 const TRAFFIC: Duration = Duration::from_secs(20);
 
+fn has_last_event(body: &[u8]) -> bool {
+    String::from_utf8_lossy(body).contains(&format!("id: {EVENTS}\n"))
+}
+
 pub fn run(record: &Record, trouble: bool) -> io::Result<Verdict> {
     let draft = Deployment::prepare(record, 2, &[])?;
-    let origin = start_origin(draft.listener(120)?, |_, text| text)?;
+    let origin = start_origin(draft.listener(120)?)?;
     let mut engines = Vec::new();
     for index in 0..RUNNERS {
         let host = 80 + u8::try_from(index).unwrap_or_default();
         let zone = ZONES[index % ZONES.len()];
         let id = format!("i-{host:08x}");
-        engines.push(Engine::start(id, false, zone, draft.listener(host)?, record)?);
+        engines.push(Engine::start(id, zone, draft.listener(host)?, record)?);
     }
     let apps: Vec<_> = engines
         .iter()
@@ -100,7 +104,8 @@
                                 "client sent {id}, got {} whole {}",
                                 answer.status, answer.whole
                             ));
-                            if answer.status == 200 && answer.whole {
+                            if answer.status == 200 && answer.whole && has_last_event(&answer.body)
+                            {
                                 served.fetch_add(1, Ordering::Relaxed);
                             }
                         }
--- a/review/tool-2/src/engine.rs
+++ b/review/tool-2/src/engine.rs
@@ -7,7 +7,7 @@
     ops::Range,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread::{self, sleep},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use egret_weights::PieceDigest;
@@ -16,7 +16,6 @@
 use crate::{
     deploy::Deployment,
     http::{self, Request, answer},
-    plain::{signature, unix_ms},
     record::Record,
 };
 
@@ -27,7 +26,7 @@
 /// What the link of the origin carries in a second.
 const ORIGIN_BITS: f64 = 7_300_000.0;
 /// Time to read a staged piece back.
-const READ_TIME: Duration = Duration::from_millis(20);
+const READ_TIME: Duration = Duration::from_millis(50);
 /// Time between two status reports, and before the next try of one that no daemon acknowledged.
 const REPORT_PERIOD: Duration = Duration::from_millis(1_200);
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -35,9 +34,19 @@
 const LOAD_TIME: Duration = Duration::from_millis(300);
 /// Time for which a piece may be bad when it is taken.
 const EXCUSED: Duration = Duration::from_secs(3);
-const EVENTS: u64 = 6;
+pub const EVENTS: u64 = 6;
 const EVENT_PERIOD: Duration = Duration::from_millis(40);
 
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or_default()
+}
+
+/// The headers that every answer of a runner to a request has.
+fn signature(request: &Request) -> String {
+    format!("X-Request-Id: {}\r\nX-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n", request.id())
+}
+
 /// The content of a piece.
 pub fn content(version: u64, index: u32) -> Vec<u8> {
     let text = format!("piece {index} of version {version}\n");
@@ -161,10 +170,9 @@
 }
 
 impl Engine {
-    /// Starts a runner; it holds version 1, which is also staged, if `loaded` is set.
+    /// Starts a runner that holds no layers.
     pub fn start(
         id: String,
-        loaded: bool,
         zone: &'static str,
         listener: TcpListener,
         record: &Record,
@@ -173,11 +181,9 @@
         let state = State {
             born: unix_ms(),
             orders: 0,
-            held: loaded.then_some(Held { layers: 0..LAYERS, version: 1, spoilt: Vec::new() }),
+            held: None,
             loading: None,
-            pieces: (0..if loaded { PIECES } else { 0 })
-                .map(|index| (index, Staged::new(content(1, index))))
-                .collect(),
+            pieces: BTreeMap::new(),
         };
         let record = record.clone();
         let state = Arc::new(Mutex::new(state));
@@ -329,11 +335,8 @@
     }
 }
 
-/// Starts the origin of the weights; `spoil` may change the text of an answer with digests.
-pub fn start_origin(
-    listener: TcpListener,
-    spoil: impl Fn(u64, String) -> String + Send + Sync + 'static,
-) -> io::Result<SocketAddr> {
+/// Starts the origin of the weights.
+pub fn start_origin(listener: TcpListener) -> io::Result<SocketAddr> {
     let address = listener.local_addr()?;
     let link = Mutex::new(());
     http::serve(
@@ -351,7 +354,7 @@
                     "model": MODEL, "version": version, "chunk_bytes": PIECE_BYTES,
                     "layers": LAYERS, "digests": digests,
                 });
-                answer(200, "", spoil(version, text.to_string()).as_bytes())
+                answer(200, "", text.to_string().as_bytes())
             } else {
                 let index = number("num").and_then(|index| u32::try_from(index).ok());
                 answer(200, "", &content(version, index.unwrap_or_default()))
--- a/review/tool-2/src/main.rs
+++ b/review/tool-2/src/main.rs
@@ -9,7 +9,6 @@
 mod deploy;
 mod engine;
 mod http;
-mod plain;
 mod record;
 
 use std::{path::PathBuf, process::ExitCode, thread, time::Duration};
