--- a/review/tool-2/src/cases/mod.rs
+++ b/review/tool-2/src/cases/mod.rs
@@ -8,7 +8,7 @@
 use crate::{Verdict, record::Record};
 
 /// Runs a case by its name.
-pub fn run(case: &str, record: &Record, trouble: bool) -> io::Result<Verdict> {
+pub(crate) fn run(case: &str, record: &Record, trouble: bool) -> io::Result<Verdict> {
     match case {
         "start" => start::run(record, trouble),
         "whole" => whole::run(record, trouble),
--- a/review/tool-2/src/cases/start.rs
+++ b/review/tool-2/src/cases/start.rs
@@ -20,7 +20,7 @@
 /// Time for which the operator goes on.
 const PATIENCE: Duration = Duration::from_secs(75);
 
-pub fn run(record: &Record, trouble: bool) -> io::Result<Verdict> {
+pub(crate) fn run(record: &Record, trouble: bool) -> io::Result<Verdict> {
     let mut deployment = Deployment::prepare(record, 2, &[])?;
     for machine in deployment.cores.iter().chain(&deployment.edges) {
         deployment.start(machine)?;
--- a/review/tool-2/src/cases/whole.rs
+++ b/review/tool-2/src/cases/whole.rs
@@ -1,4 +1,5 @@
-//! A piece turns bad at a runner that loads, and all processes are killed while it loads.
+//! A piece turns bad at a runner, and right after an ack to the operator all processes are killed
+//! while that runner loads.
 
 use std::{
     io,
@@ -23,8 +24,9 @@
 const RUNNERS: usize = 11;
 const CLIENTS: u64 = 24;
 const PAUSE: Duration = Duration::from_millis(50);
-/// Time from the accepted order to the kill; loading takes 0.3 s.
-const KILL_DELAY: Duration = Duration::from_millis(150);
+/// Time from the accepted order until the operator sends a manifest, right after whose ack all
+/// processes are killed; loading takes 0.3 s.
+const MANIFEST_DELAY: Duration = Duration::from_millis(50);
 /// Time for which all processes are down.
 const DOWN_TIME: Duration = Duration::from_millis(900);
 /// Time for which clients go on.
@@ -34,7 +36,7 @@
     String::from_utf8_lossy(body).contains(&format!("id: {EVENTS}\n"))
 }
 
-pub fn run(record: &Record, trouble: bool) -> io::Result<Verdict> {
+pub(crate) fn run(record: &Record, trouble: bool) -> io::Result<Verdict> {
     let draft = Deployment::prepare(record, 2, &[])?;
     let origin = start_origin(draft.listener(120)?)?;
     let mut engines = Vec::new();
@@ -72,7 +74,9 @@
         }
         sleep(Duration::from_millis(5));
     }
-    sleep(KILL_DELAY);
+    sleep(MANIFEST_DELAY);
+    let next = manifest(2, Some(origin), PIECES, PIECE_BYTES);
+    deployment.order("/v1/Config.Replace", &next.to_string())?;
     if trouble {
         deployment.kill_all();
         sleep(DOWN_TIME);
--- a/review/tool-2/src/deploy.rs
+++ b/review/tool-2/src/deploy.rs
@@ -16,8 +16,8 @@
 use crate::{http, record::Record};
 
 /// The key of the only organisation.
-pub const KEY: &str = "jnbanfqasnmgkcuyj8pj";
-pub const HOST: &str = "jepu9.example";
+pub(crate) const KEY: &str = "jnbanfqasnmgkcuyj8pj";
+pub(crate) const HOST: &str = "jepu9.example";
 const PORT_CONTROL: u16 = 8000;
 const PORT_READY: u16 = 8002;
 const PORT_FRONT: u16 = 8005;
@@ -28,44 +28,44 @@
 
 /// A machine of the deployment, with an address of its own.
 #[derive(Debug, Clone)]
-pub struct Machine {
-    pub name: String,
-    pub ip: IpAddr,
-    pub zone: &'static str,
+pub(crate) struct Machine {
+    pub(crate) name: String,
+    pub(crate) ip: IpAddr,
+    pub(crate) zone: &'static str,
     role: &'static str,
     extra: Value,
 }
 
 impl Machine {
-    pub fn front(&self) -> SocketAddr {
+    pub(crate) fn front(&self) -> SocketAddr {
         SocketAddr::new(self.ip, PORT_FRONT)
     }
 
-    pub fn control(&self) -> SocketAddr {
+    pub(crate) fn control(&self) -> SocketAddr {
         SocketAddr::new(self.ip, PORT_CONTROL)
     }
 
-    pub fn ready(&self) -> SocketAddr {
+    pub(crate) fn ready(&self) -> SocketAddr {
         SocketAddr::new(self.ip, PORT_READY)
     }
 }
 
 /// The running deployment.
-pub struct Deployment {
-    pub record: Record,
+pub(crate) struct Deployment {
+    pub(crate) record: Record,
     folder: PathBuf,
     root: PathBuf,
     base: [u8; 3],
-    pub cores: Vec<Machine>,
-    pub edges: Vec<Machine>,
-    pub sides: Vec<Machine>,
+    pub(crate) cores: Vec<Machine>,
+    pub(crate) edges: Vec<Machine>,
+    pub(crate) sides: Vec<Machine>,
 }
 
 /// The processes that were started, by machine.
 static CHILDREN: Mutex<Vec<(String, Child)>> = Mutex::new(Vec::new());
 
 /// Ends all processes that were started, and removes their files.
-pub fn end_all() {
+pub(crate) fn end_all() {
     if let Ok(mut children) = CHILDREN.lock() {
         for (_, child) in children.iter_mut() {
             let _ = child.kill();
@@ -85,7 +85,11 @@
 
 impl Deployment {
     /// Prepares machines; `apps` are the runners beside which an agent runs, with their zones.
-    pub fn prepare(record: &Record, edges: u8, apps: &[(SocketAddr, usize)]) -> io::Result<Self> {
+    pub(crate) fn prepare(
+        record: &Record,
+        edges: u8,
+        apps: &[(SocketAddr, usize)],
+    ) -> io::Result<Self> {
         let id = std::process::id();
         let base = [127, 96 + (id % 96) as u8, (id / 96 % 250) as u8 + 1];
         let root = std::env::current_dir()?;
@@ -125,7 +129,7 @@
     }
 
     /// Returns a listener for a stand-in, at an address of the deployment.
-    pub fn listener(&self, host: u8) -> io::Result<TcpListener> {
+    pub(crate) fn listener(&self, host: u8) -> io::Result<TcpListener> {
         let [first, second, third] = self.base;
         TcpListener::bind((Ipv4Addr::new(first, second, third, host), 0))
     }
@@ -182,7 +186,7 @@
     }
 
     /// Starts the process of a machine.
-    pub fn start(&self, machine: &Machine) -> io::Result<()> {
+    pub(crate) fn start(&self, machine: &Machine) -> io::Result<()> {
         let file = self.folder.join(format!("{}.yaml", machine.name));
         fs::write(&file, self.settings(machine).to_string())?;
         let log = fs::File::options().create(true).append(true).open(file.with_extension("log"))?;
@@ -201,7 +205,7 @@
     }
 
     /// Starts all processes, puts a manifest in force and waits until all entries are ready.
-    pub fn start_all(&self, manifest: &Value) -> io::Result<()> {
+    pub(crate) fn start_all(&self, manifest: &Value) -> io::Result<()> {
         for machine in self.cores.iter().chain(&self.edges).chain(&self.sides) {
             self.start(machine)?;
         }
@@ -217,7 +221,7 @@
     }
 
     /// Kills all processes at the same moment.
-    pub fn kill_all(&self) {
+    pub(crate) fn kill_all(&self) {
         if let Ok(mut children) = CHILDREN.lock() {
             children.iter_mut().for_each(|(_, child)| drop(child.kill()));
             for (_, mut child) in children.drain(..) {
@@ -228,7 +232,7 @@
     }
 
     /// Kills the process of a machine, which does not come back.
-    pub fn kill(&self, machine: &Machine) {
+    pub(crate) fn kill(&self, machine: &Machine) {
         if let Ok(mut children) = CHILDREN.lock() {
             for (_, mut child) in children.extract_if(.., |(name, _)| *name == machine.name) {
                 let _ = child.kill();
@@ -239,7 +243,7 @@
     }
 
     /// Returns an empty machine that replaces a core machine, at another address.
-    pub fn spare_core(&self, machine: &Machine) -> io::Result<Machine> {
+    pub(crate) fn spare_core(&self, machine: &Machine) -> io::Result<Machine> {
         let [first, second, third] = self.base;
         let data = self.folder.join("data-spare");
         fs::create_dir_all(&data)?;
@@ -252,7 +256,7 @@
     }
 
     /// Writes the settings of all machines anew, with the present seeds, and says so by SIGHUP.
-    pub fn settings_changed(&self) -> io::Result<()> {
+    pub(crate) fn settings_changed(&self) -> io::Result<()> {
         for machine in self.cores.iter().chain(&self.edges).chain(&self.sides) {
             let file = self.folder.join(format!("{}.yaml", machine.name));
             fs::write(&file, self.settings(machine).to_string())?;
@@ -267,7 +271,7 @@
     }
 
     /// Starts all processes again, with the settings of an existing system.
-    pub fn restart_all(&self) -> io::Result<()> {
+    pub(crate) fn restart_all(&self) -> io::Result<()> {
         for machine in self.cores.iter().chain(&self.edges).chain(&self.sides) {
             let mut machine = machine.clone();
             machine.extra["bootstrap"] = json!(false);
@@ -277,12 +281,12 @@
     }
 
     /// Sends an order of the operator until it is acknowledged.
-    pub fn order(&self, path: &str, body: &str) -> io::Result<()> {
+    pub(crate) fn order(&self, path: &str, body: &str) -> io::Result<()> {
         self.order_within(path, body, Duration::from_secs(15))
     }
 
     /// Sends an order of the operator until it is acknowledged, for `limit` at most.
-    pub fn order_within(&self, path: &str, body: &str, limit: Duration) -> io::Result<()> {
+    pub(crate) fn order_within(&self, path: &str, body: &str, limit: Duration) -> io::Result<()> {
         self.wait(path, limit, || {
             self.cores.iter().any(|core| {
                 let status = call_control(core.control(), path, body);
@@ -294,7 +298,7 @@
     }
 
     /// Reports a runner's status until it is acknowledged; returns whether it was.
-    pub fn report(&self, id: &str, status: &Value) -> bool {
+    pub(crate) fn report(&self, id: &str, status: &Value) -> bool {
         let path = format!("/v1/Instances.Heartbeat/{id}");
         let body = status.to_string();
         self.cores
@@ -302,7 +306,7 @@
             .any(|core| matches!(call_control(core.control(), &path, &body), Some(200..=299)))
     }
 
-    pub fn wait(
+    pub(crate) fn wait(
         &self,
         what: &str,
         limit: Duration,
@@ -319,7 +323,7 @@
     }
 
     /// Returns the processes that have ended by themselves.
-    pub fn ended(&self) -> Vec<String> {
+    pub(crate) fn ended(&self) -> Vec<String> {
         let Ok(mut children) = CHILDREN.lock() else { return Vec::new() };
         let ended = children.iter_mut().filter_map(|(name, child)| {
             matches!(child.try_wait(), Ok(Some(_))).then(|| name.clone())
@@ -345,7 +349,7 @@
 }
 
 /// A manifest with a stream served by `huvo11a` and two plain routes served by `wuno96b`.
-pub fn manifest(
+pub(crate) fn manifest(
     version: u64,
     origin: Option<SocketAddr>,
     chunks: u32,
--- a/review/tool-2/src/engine.rs
+++ b/review/tool-2/src/engine.rs
@@ -19,9 +19,9 @@
     record::Record,
 };
 
-pub const MODEL: &str = "daka510000";
-pub const PIECES: u32 = 96;
-pub const PIECE_BYTES: usize = 24_576;
+pub(crate) const MODEL: &str = "daka510000";
+pub(crate) const PIECES: u32 = 96;
+pub(crate) const PIECE_BYTES: usize = 24_576;
 const LAYERS: u32 = 16;
 /// What the link of the origin carries in a second.
 const ORIGIN_BITS: f64 = 7_300_000.0;
@@ -34,7 +34,7 @@
 const LOAD_TIME: Duration = Duration::from_millis(300);
 /// Time for which a piece may be bad when it is taken.
 const EXCUSED: Duration = Duration::from_secs(3);
-pub const EVENTS: u64 = 6;
+pub(crate) const EVENTS: u64 = 6;
 const EVENT_PERIOD: Duration = Duration::from_millis(40);
 
 fn unix_ms() -> u64 {
@@ -48,7 +48,7 @@
 }
 
 /// The content of a piece.
-pub fn content(version: u64, index: u32) -> Vec<u8> {
+pub(crate) fn content(version: u64, index: u32) -> Vec<u8> {
     let text = format!("piece {index} of version {version}\n");
     text.bytes().cycle().take(PIECE_BYTES).collect()
 }
@@ -157,9 +157,9 @@
 
 /// A model runner.
 #[derive(Clone)]
-pub struct Engine {
+pub(crate) struct Engine {
     id: String,
-    pub address: SocketAddr,
+    pub(crate) address: SocketAddr,
     zone: &'static str,
     state: Arc<Mutex<State>>,
     record: Record,
@@ -171,7 +171,7 @@
 
 impl Engine {
     /// Starts a runner that holds no layers.
-    pub fn start(
+    pub(crate) fn start(
         id: String,
         zone: &'static str,
         listener: TcpListener,
@@ -206,17 +206,17 @@
     }
 
     /// Returns the version that it holds whole.
-    pub fn version(&self) -> Option<u64> {
+    pub(crate) fn version(&self) -> Option<u64> {
         self.state().version()
     }
 
     /// Returns the pieces that lie at the runner.
-    pub fn staged(&self) -> BTreeSet<u32> {
+    pub(crate) fn staged(&self) -> BTreeSet<u32> {
         self.state().pieces.keys().copied().collect()
     }
 
     /// Lets a piece that lies at the runner turn bad.
-    pub fn rot(&self, index: u32) {
+    pub(crate) fn rot(&self, index: u32) {
         if let Some(staged) = self.state().pieces.get_mut(&index) {
             staged.content[0] ^= 1;
             staged.since = Instant::now();
@@ -225,17 +225,17 @@
     }
 
     /// Returns how many orders it has accepted.
-    pub fn orders(&self) -> u64 {
+    pub(crate) fn orders(&self) -> u64 {
         self.state().orders
     }
 
     /// Returns the answers that it began with a spoilt layer.
-    pub fn spoilt_answers(&self) -> Vec<String> {
+    pub(crate) fn spoilt_answers(&self) -> Vec<String> {
         self.spoilt_answers.lock().map(|answers| answers.clone()).unwrap_or_default()
     }
 
     /// Reports its status all the time.
-    pub fn report_to(&self, deployment: &Arc<Deployment>) {
+    pub(crate) fn report_to(&self, deployment: &Arc<Deployment>) {
         let (engine, deployment) = (self.clone(), Arc::downgrade(deployment));
         thread::spawn(move || {
             for seq in 1_u64.. {
@@ -336,7 +336,7 @@
 }
 
 /// Starts the origin of the weights.
-pub fn start_origin(listener: TcpListener) -> io::Result<SocketAddr> {
+pub(crate) fn start_origin(listener: TcpListener) -> io::Result<SocketAddr> {
     let address = listener.local_addr()?;
     let link = Mutex::new(());
     http::serve(
--- a/review/tool-2/src/http.rs
+++ b/review/tool-2/src/http.rs
@@ -10,21 +10,21 @@
 
 /// A request as it was received.
 #[derive(Debug, Clone)]
-pub struct Request {
-    pub method: String,
-    pub target: String,
-    pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
+pub(crate) struct Request {
+    pub(crate) method: String,
+    pub(crate) target: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
 }
 
 /// A response as it was received.
 #[derive(Debug, Clone)]
-pub struct Response {
-    pub status: u16,
-    pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
+pub(crate) struct Response {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
     /// Whether the body came to the end that its head announces.
-    pub whole: bool,
+    pub(crate) whole: bool,
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
@@ -33,19 +33,19 @@
 }
 
 impl Request {
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         find(&self.headers, name)
     }
 
-    pub fn id(&self) -> &str {
+    pub(crate) fn id(&self) -> &str {
         self.header("x-request-id").unwrap_or_default()
     }
 
-    pub fn path(&self) -> &str {
+    pub(crate) fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
     }
 
-    pub fn query(&self, name: &str) -> Option<&str> {
+    pub(crate) fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target.split_once('?')?;
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
@@ -53,7 +53,7 @@
 }
 
 impl Response {
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         find(&self.headers, name)
     }
 }
@@ -122,7 +122,7 @@
 }
 
 /// Reads the next request; none if the connection has ended.
-pub fn read_request(reader: &mut impl BufRead) -> io::Result<Option<Request>> {
+pub(crate) fn read_request(reader: &mut impl BufRead) -> io::Result<Option<Request>> {
     let Some(line) = read_line(reader)? else { return Ok(None) };
     let mut words = line.split(' ').map(str::to_owned);
     let (Some(method), Some(target)) = (words.next(), words.next()) else {
@@ -141,7 +141,7 @@
 /// # Errors
 ///
 /// `InvalidData` if the bytes are no response.
-pub fn read_response(reader: &mut impl BufRead) -> io::Result<Response> {
+pub(crate) fn read_response(reader: &mut impl BufRead) -> io::Result<Response> {
     let line = read_line(reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
     let rest = line.strip_prefix("HTTP/1.").ok_or_else(|| {
         let start: String = line.chars().take(60).collect();
@@ -155,29 +155,29 @@
 }
 
 /// A connection of a client, kept for several requests.
-pub struct Channel {
+pub(crate) struct Channel {
     reader: BufReader<TcpStream>,
 }
 
 impl Channel {
-    pub fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+    pub(crate) fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(limit))?;
         Ok(Self { reader: BufReader::new(stream) })
     }
 
-    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+    pub(crate) fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.reader.get_mut().write_all(bytes)
     }
 
-    pub fn receive(&mut self) -> io::Result<Response> {
+    pub(crate) fn receive(&mut self) -> io::Result<Response> {
         read_response(&mut self.reader)
     }
 }
 
 /// Sends one request on a connection of its own.
-pub fn call(
+pub(crate) fn call(
     address: SocketAddr,
     method: &str,
     target: &str,
@@ -191,24 +191,24 @@
 }
 
 /// Encodes a request; `headers` are whole lines.
-pub fn encode(method: &str, target: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+pub(crate) fn encode(method: &str, target: &str, headers: &str, body: &[u8]) -> Vec<u8> {
     let length = body.len();
     let head = format!("{method} {target} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n");
     [head.as_bytes(), body].concat()
 }
 
 /// Encodes a response; `headers` are whole lines.
-pub fn answer(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
+pub(crate) fn answer(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
     let length = body.len();
     let head = format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: {length}\r\n\r\n");
     [head.as_bytes(), body].concat()
 }
 
 /// What a server does with a request; it returns whether the connection goes on.
-pub type Handler = dyn Fn(&Request, &mut TcpStream) -> io::Result<bool> + Send + Sync;
+pub(crate) type Handler = dyn Fn(&Request, &mut TcpStream) -> io::Result<bool> + Send + Sync;
 
 /// Serves connections, one thread for each, until the process ends.
-pub fn serve(listener: TcpListener, handler: Arc<Handler>) {
+pub(crate) fn serve(listener: TcpListener, handler: Arc<Handler>) {
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = handler.clone();
--- a/review/tool-2/src/main.rs
+++ b/review/tool-2/src/main.rs
@@ -16,8 +16,11 @@
 use record::Record;
 
 /// What a case found.
-pub enum Verdict {
+#[derive(Debug)]
+pub(crate) enum Verdict {
+    /// The rule held.
     Held,
+    /// The rule was broken, and how.
     Broken(String),
 }
 
--- a/review/tool-2/src/record.rs
+++ b/review/tool-2/src/record.rs
@@ -11,21 +11,21 @@
 
 /// The record of one run of a case, shared by its threads.
 #[derive(Clone)]
-pub struct Record {
+pub(crate) struct Record {
     file: Arc<Mutex<File>>,
     start: Instant,
 }
 
 impl Record {
-    pub fn create(path: &Path) -> std::io::Result<Self> {
+    pub(crate) fn create(path: &Path) -> std::io::Result<Self> {
         Ok(Self { file: Arc::new(Mutex::new(File::create(path)?)), start: Instant::now() })
     }
 
-    pub fn now(&self) -> Duration {
+    pub(crate) fn now(&self) -> Duration {
         self.start.elapsed()
     }
 
-    pub fn write(&self, line: impl Display) {
+    pub(crate) fn write(&self, line: impl Display) {
         let seconds = self.now().as_secs_f64();
         if let Ok(mut file) = self.file.lock() {
             let _ = writeln!(file, "{seconds:8.3} {line}");
