Record proven weights, so that no restart lets unproven ones answer

Callers got answers made with a layer that an engine had taken from a piece that had been bad for seconds: an engine loads, all processes are killed before its agent has read the pieces back, and the new entries send it requests.

Cause: what an agent had proven of its engine's weights was soft state. A process that remembered nothing went by the engine's own report, which names any weights that it has loaded.

Agents now record in the replicated control state which weights are whole, and entries go by the agent's word, their memory or the record, never by the report of an engine whose weights agents load. A record never names what was taken after it was made: before an order for a version that it may name, the agent withdraws it and waits for a quorum. The engine's count of orders decides which record is later, so no clock and no late message of an earlier agent does. An engine that has accepted no order holds what it started with, so its agent reads nothing back before it says so.

--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -76,6 +76,10 @@
     pub(crate) async fn call(&self, request: Request) -> Answer<Reply> {
         match request {
             Request::Command(command) => {
+                if self.has_recorded(&command) {
+                    let revision = self.core.borrow().state.view().revision;
+                    return Answer::Done(Reply::Accepted { revision });
+                }
                 self.submit(|reply| Input::Propose(with_leader_time(*command), reply)).await
             }
             Request::Query(query) => self.query(query).await,
@@ -126,6 +130,13 @@
         }
     }
 
+    /// Returns whether this instance is the leader and has recorded the status of a command.
+    fn has_recorded(&self, command: &Command) -> bool {
+        let core = self.core.borrow();
+        matches!(command, Command::RecordStatus { update, .. }
+            if core.leads() && core.state.recorded.covers(update))
+    }
+
     /// Sends a request to the leader, which may be this instance, until `deadline`.
     ///
     /// # Errors
--- a/crates/egret_control/src/state.rs
+++ b/crates/egret_control/src/state.rs
@@ -10,7 +10,10 @@
 use egret_rpc::{Compressed, DecodeError, Reply, decode, encode};
 use serde::{Deserialize, Serialize};
 
-use crate::{claims::Claims, recorded_status::RecordedStatus};
+use crate::{
+    claims::Claims,
+    recorded_status::{Departures, RecordedStatus},
+};
 
 /// Changes kept for session holders that are behind.
 const CHANGES_KEPT: usize = 4_096;
@@ -51,8 +54,10 @@
 
 /// Marks snapshots that include the blocked parts of prompts; no encoding of [`encode`] begins so.
 const WITH_PARTS: u8 = 0xff;
-/// Marks snapshots that include recorded status updates as well.
-const WITH_STATUS: u8 = 0xfe;
+/// Marks snapshots that include departures of backend servers as well.
+const WITH_DEPARTURES: u8 = 0xfe;
+/// Marks snapshots that include all recorded status updates.
+const WITH_STATUS: u8 = 0xfd;
 
 /// A snapshot as programs wrote it that could not block parts of prompts.
 #[derive(Deserialize)]
@@ -120,7 +125,7 @@
     next_fence: u64,
     /// Whether backend servers joined or left since the last plan.
     pub(crate) plan_due: bool,
-    /// The backend servers that drain or have departed, which snapshots hold beside the rest.
+    /// The recorded status of backend servers, which snapshots hold beside the rest.
     #[serde(skip)]
     pub(crate) recorded: RecordedStatus,
 }
@@ -143,7 +148,8 @@
         self.plan_due
     }
 
-    /// Returns the replicated status of backend servers that drain or have departed.
+    /// Returns the replicated status of backend servers that drain or have departed, and the proven
+    /// weights of engines.
     pub fn recorded_status(&self) -> impl Iterator<Item = &StatusUpdate> {
         self.recorded.iter()
     }
@@ -168,6 +174,10 @@
                 let (state, recorded) = decode::<(Self, RecordedStatus)>(bytes)?;
                 Ok(Self { recorded, ..state })
             }
+            Some((&WITH_DEPARTURES, bytes)) => {
+                let (state, departures) = decode::<(Self, Departures)>(bytes)?;
+                Ok(Self { recorded: departures.into(), ..state })
+            }
             Some((&WITH_PARTS, state)) => decode(state),
             Some(_) => decode::<StateWithoutParts>(bytes).map(Self::from),
         }
--- a/crates/egret_control/tests/recorded_status.rs
+++ b/crates/egret_control/tests/recorded_status.rs
@@ -1,7 +1,10 @@
-//! Departures that are replicated before they are acknowledged.
+//! Departures and proven weights, which are replicated.
+
+use std::collections::BTreeMap;
 
 use egret_control::State;
-use egret_fleet::{StatusKey, StatusStamp, StatusUpdate};
+use egret_fleet::{EngineStatus, LoadedModel, ProvenWeights, StatusKey, StatusStamp, StatusUpdate};
+use egret_record::WeightVersion;
 use egret_rpc::{Command, UnixMillis, decode, encode};
 
 fn departure(id: &str, incarnation: u64) -> StatusUpdate {
@@ -67,3 +70,66 @@
     let command = Command::RecordStatus { update: departure("i-1", 5), recorded_at: UnixMillis(7) };
     assert_eq!(decode::<Command>(&encode(&command)), Ok(command));
 }
+
+fn weights(engine: u16, orders: u64, versions: &[u64]) -> StatusUpdate {
+    let loaded = |version| LoadedModel {
+        model: "m".to_owned(),
+        version: WeightVersion(version),
+        complete: true,
+    };
+    let models = versions.iter().copied().map(loaded).collect();
+    let proven = EngineStatus { incarnation: 5, orders: Some(orders), models };
+    StatusUpdate::Weights(ProvenWeights { engine: ([10, 0, 0, 1], engine).into(), proven })
+}
+
+// Guards against proven weights that are forgotten when all processes restart.
+#[test]
+fn proven_weights_outlive_a_snapshot() {
+    let mut state = State::default();
+    record(&mut state, departure("i-1", 5), 1);
+    record(&mut state, weights(1, 2, &[1]), 1);
+    let restored = State::restore(&state.snapshot()).expect("a valid snapshot");
+    assert_eq!(recorded(&restored), [departure("i-1", 5), weights(1, 2, &[1])]);
+    assert_eq!(restored.snapshot(), state.snapshot());
+}
+
+#[test]
+fn snapshot_with_departures_only_is_read() {
+    /// The mark of snapshots with departures, before proven weights were recorded.
+    const WITH_DEPARTURES: u8 = 0xfe;
+    let state = State::default();
+    let departures = BTreeMap::from([("i-1".to_owned(), (UnixMillis(1), departure("i-1", 5)))]);
+    let mut old = encode(&(&state, departures));
+    old.insert(0, WITH_DEPARTURES);
+    let restored = State::restore(&old).expect("an old snapshot");
+    assert_eq!(recorded(&restored), [departure("i-1", 5)]);
+}
+
+// Guards against a proof that a former agent sent and that arrives after its successor withdrew it.
+#[test]
+fn late_proof_does_not_undo_its_withdrawal() {
+    let mut state = State::default();
+    record(&mut state, weights(1, 2, &[1]), 1);
+    record(&mut state, weights(1, 2, &[]), 2);
+    record(&mut state, weights(1, 2, &[1]), 3);
+    assert_eq!(recorded(&state), [weights(1, 2, &[])]);
+    record(&mut state, weights(1, 4, &[1]), 4);
+    assert_eq!(recorded(&state), [weights(1, 4, &[1])], "taken anew by later orders");
+}
+
+// Guards against a control state that grows with each engine that ever was, and against proofs that
+// are forgotten after a time although their engines still serve.
+#[test]
+fn proven_weights_are_bounded_in_number_not_in_time() {
+    const HOUR: u64 = 3_600_000;
+    let mut state = State::default();
+    record(&mut state, weights(1, 2, &[1]), 1);
+    record(&mut state, weights(2, 2, &[1]), HOUR);
+    assert_eq!(recorded(&state).len(), 2);
+    for engine in 3..20_000 {
+        record(&mut state, weights(engine, 2, &[1]), HOUR + 1);
+    }
+    let kept = recorded(&state);
+    assert!(kept.len() < 20_000, "the number of proofs is bounded");
+    assert!(!kept.contains(&weights(1, 2, &[1])), "the oldest goes first");
+}
--- a/crates/egret_fleet/src/feed.rs
+++ b/crates/egret_fleet/src/feed.rs
@@ -42,7 +42,10 @@
             (Self::Agents, StatusUpdate::Gone(key, _)) => matches!(key, StatusKey::Process(_)),
             (
                 Self::Agents,
-                StatusUpdate::Backend(_) | StatusUpdate::Limit(_) | StatusUpdate::Suspects(_),
+                StatusUpdate::Backend(_)
+                | StatusUpdate::Limit(_)
+                | StatusUpdate::Suspects(_)
+                | StatusUpdate::Weights(_),
             ) => false,
         }
     }
--- a/crates/egret_fleet/src/fleet.rs
+++ b/crates/egret_fleet/src/fleet.rs
@@ -1,12 +1,12 @@
 //! The latest status of each backend server and process, with its age.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use egret_record::FastMap;
 
 use crate::status::{
-    BackendLimit, BackendStatus, ProcessKind, ProcessStatus, StatusKey, StatusStamp, StatusUpdate,
-    SuspectedParts,
+    BackendLimit, BackendStatus, EngineStatus, ProcessKind, ProcessStatus, ProvenWeights,
+    StatusKey, StatusStamp, StatusUpdate, SuspectedParts,
 };
 
 /// Time without a report after which a backend server is gone. It tolerates a few lost reports;
@@ -42,7 +42,7 @@
 pub struct Fleet {
     known: FastMap<StatusKey, KnownStatus>,
     /// The latest incarnation at each address, and its id.
-    addresses: FastMap<std::net::SocketAddr, (StatusStamp, String)>,
+    addresses: FastMap<SocketAddr, (StatusStamp, String)>,
 }
 
 impl Fleet {
@@ -112,9 +112,10 @@
             let limit = match known.status {
                 StatusUpdate::Backend(_) => backends,
                 StatusUpdate::Process(_) => processes,
-                StatusUpdate::Gone(..) | StatusUpdate::Limit(_) | StatusUpdate::Suspects(_) => {
-                    continue;
-                }
+                StatusUpdate::Gone(..)
+                | StatusUpdate::Limit(_)
+                | StatusUpdate::Suspects(_)
+                | StatusUpdate::Weights(_) => continue,
             };
             if now > known.last_seen + limit {
                 known.status = StatusUpdate::Gone(key.clone(), known.status.stamp());
@@ -174,6 +175,15 @@
         }
     }
 
+    /// Returns which weights of the engine at an address are whole, as it was last replicated.
+    #[must_use]
+    pub fn proven_weights(&self, engine: SocketAddr) -> Option<&EngineStatus> {
+        match self.known.get(&StatusKey::Weights(engine)).map(|known| &known.status) {
+            Some(StatusUpdate::Weights(ProvenWeights { proven, .. })) => Some(proven),
+            _ => None,
+        }
+    }
+
     /// Returns the entries that are not gone.
     pub fn entries(&self) -> impl Iterator<Item = &ProcessStatus> {
         self.processes(ProcessKind::Entry)
--- a/crates/egret_fleet/src/lib.rs
+++ b/crates/egret_fleet/src/lib.rs
@@ -43,7 +43,7 @@
 pub use fleet::{BACKEND_TIMEOUT, Fleet, KnownStatus, UpdateKind};
 pub use status::{
     BackendLimit, BackendStatus, EngineStatus, FAST_START_DELAY_MAX, LoadedModel, ProcessKind,
-    ProcessStatus, START_DELAY_MAX, StatusKey, StatusStamp, StatusUpdate, SuspectedParts,
-    version_of,
+    ProcessStatus, ProvenWeights, START_DELAY_MAX, StatusKey, StatusStamp, StatusUpdate,
+    SuspectedParts, version_of,
 };
 pub use unconfirmed::Unconfirmed;
--- a/crates/egret_fleet/src/status.rs
+++ b/crates/egret_fleet/src/status.rs
@@ -105,10 +105,39 @@
     /// The start of the engine's incarnation, in milliseconds since 1970 by its own clock.
     #[serde(rename = "born")]
     pub incarnation: u64,
+    /// How many load orders it had accepted, if it counts them.
+    pub orders: Option<u64>,
     /// The weights that it has loaded.
     pub models: Vec<LoadedModel>,
 }
 
+/// Which weights of an engine are whole, as the control instances have replicated it.
+///
+/// It outlives all processes, unlike the status that the agent reports.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProvenWeights {
+    /// The address of the engine.
+    pub engine: SocketAddr,
+    /// The weights that the agent had proven; empty once it has withdrawn its proof.
+    pub proven: EngineStatus,
+}
+
+impl ProvenWeights {
+    /// Returns its order among those about the same engine.
+    ///
+    /// The engine's own count of orders decides, so that no clock of an agent does. A proof that
+    /// was withdrawn stays so until the engine has accepted another order.
+    #[must_use]
+    pub const fn stamp(&self) -> StatusStamp {
+        let orders = match self.proven.orders {
+            Some(orders) => orders,
+            None => 0,
+        };
+        let seq = orders.saturating_mul(2).saturating_add(self.proven.models.is_empty() as u64);
+        StatusStamp { incarnation: self.proven.incarnation, seq }
+    }
+}
+
 /// The role of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProcessKind {
@@ -183,6 +212,8 @@
     Limit(String),
     /// The parts of prompts that may crash backend servers.
     SuspectedParts,
+    /// The proven weights of an engine, by its address.
+    Weights(SocketAddr),
 }
 
 /// An update about a backend server or process.
@@ -199,6 +230,8 @@
     Limit(BackendLimit),
     /// The leader announced the parts of prompts that may crash backend servers.
     Suspects(SuspectedParts),
+    /// The control instances have replicated which weights of an engine are whole.
+    Weights(ProvenWeights),
 }
 
 impl StatusUpdate {
@@ -211,6 +244,7 @@
             Self::Gone(key, _) => key.clone(),
             Self::Limit(limit) => StatusKey::Limit(limit.backend.clone()),
             Self::Suspects(_) => StatusKey::SuspectedParts,
+            Self::Weights(weights) => StatusKey::Weights(weights.engine),
         }
     }
 
@@ -223,6 +257,7 @@
             Self::Gone(_, stamp) => *stamp,
             Self::Limit(limit) => limit.stamp,
             Self::Suspects(suspects) => suspects.stamp,
+            Self::Weights(weights) => weights.stamp(),
         }
     }
 
--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use egret_fleet::{BackendStatus, EngineStatus, version_of};
+use egret_fleet::{BackendStatus, EngineStatus, LoadedModel, version_of};
 use egret_record::WeightVersion;
 use egret_route::{AdaptiveLimit, BackOff, CircuitBreaker, ColdRateLimit};
 use http_body_util::Full;
@@ -19,6 +19,8 @@
     time::timeout,
 };
 
+use crate::tables::Tables;
+
 /// Timeout for connecting; an instance without power never answers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Read buffer of a connection, in bytes; an event of a stream has a few hundred.
@@ -134,11 +136,24 @@
         }
     }
 
-    /// Updates what is known of its weights from the agents of engines at its address.
-    pub(crate) fn observe(&self, observed: &[&EngineStatus]) {
-        let incarnation = self.status.borrow().stamp.incarnation;
+    /// Updates what is known of its weights from the agents of engines at its address, and from what
+    /// the control instances have recorded of the engine there.
+    pub(crate) fn observe(&self, observed: &[&EngineStatus], recorded: Option<&EngineStatus>) {
+        let status = self.status.borrow();
+        let is_own = |other: &EngineStatus| other.incarnation == status.stamp.incarnation;
         let mut known = self.observed.borrow_mut();
-        let own = observed.iter().find(|observed| observed.incarnation == incarnation);
+        let own = observed.iter().find(|observed| is_own(observed));
+        // An agent that started anew says nothing until it has proven the weights again.
+        if own.is_none()
+            && let Some(recorded) = recorded.filter(|recorded| is_own(recorded))
+            && known.as_ref().is_none_or(|known| !is_own(known) || known.orders <= recorded.orders)
+        {
+            // The engine may have begun to load others since.
+            let is_loaded = |model: &&LoadedModel| status.models.contains(model);
+            let models = recorded.models.iter().filter(is_loaded).cloned().collect();
+            *known = Some(EngineStatus { models, ..*recorded });
+            return;
+        }
         let Some(latest) = own.or_else(|| observed.iter().max_by_key(|other| other.incarnation))
         else {
             return;
@@ -151,19 +166,29 @@
 
     /// Returns the version of a model that it can serve.
     ///
-    /// If it has an agent, that is what the agent knows to be whole: the engine itself announces
-    /// any weights that it has loaded.
-    pub(crate) fn version_of(&self, model: &str) -> Option<WeightVersion> {
+    /// If agents load its weights, that is what its agent knows to be whole: the engine itself
+    /// reports any weights that it has loaded.
+    pub(crate) fn version_of(&self, model: &str, tables: &Tables) -> Option<WeightVersion> {
         let status = self.status.borrow();
         match self.observed.borrow().as_ref() {
             Some(observed) if observed.incarnation == status.stamp.incarnation => {
                 version_of(&observed.models, model)
             }
-            Some(_) => None,
-            None => status.version_of(model),
+            None if !tables.has_loaded_weights(&status.service) => status.version_of(model),
+            _ => None,
         }
     }
 
+    /// Returns whether it can serve a request that names no model.
+    pub(crate) fn has_weights(&self, tables: &Tables) -> bool {
+        let status = self.status.borrow();
+        !tables.has_loaded_weights(&status.service)
+            || self.observed.borrow().as_ref().is_some_and(|observed| {
+                observed.incarnation == status.stamp.incarnation
+                    && observed.models.iter().any(|loaded| loaded.complete)
+            })
+    }
+
     /// Returns an idle connection, or opens a new one if there is none or `fresh` is set.
     ///
     /// Requests that may run only once always need a fresh connection: an idle one
--- a/crates/egret_gateway/src/exchange.rs
+++ b/crates/egret_gateway/src/exchange.rs
@@ -468,7 +468,7 @@
         let BackendResponse { mut head, meta, body, connection } = *response;
         let is_framed = is_framed(&head.headers);
         let model = job.call.model.as_ref();
-        let loaded = model.and_then(|model| slot.backend.version_of(model));
+        let loaded = model.and_then(|model| slot.backend.version_of(model, &self.tables()));
         job.weights = model.and(meta.version.or(loaded));
         self.protocol.caller_response(&mut head);
         // Another backend server may continue with a remainder of another length.
--- a/crates/egret_gateway/src/gateway.rs
+++ b/crates/egret_gateway/src/gateway.rs
@@ -458,10 +458,10 @@
         }
         let interrupting = interrupting_engines(&fleet);
         for backend in backends.values() {
-            backend.interrupts_streams.set(interrupting.contains(&backend.status.borrow().address));
-            if let Some(observed) = observed.get(&backend.status.borrow().address) {
-                backend.observe(observed);
-            }
+            let address = backend.status.borrow().address;
+            backend.interrupts_streams.set(interrupting.contains(&address));
+            let observed = observed.get(&address).map_or(&[][..], Vec::as_slice);
+            backend.observe(observed, fleet.proven_weights(address));
         }
         self.congested.replace(congested);
         self.switching.replace(switching);
--- a/crates/egret_gateway/src/slots.rs
+++ b/crates/egret_gateway/src/slots.rs
@@ -289,11 +289,12 @@
             status.stamp.seq
         );
         drop(status);
+        let loaded =
+            wanted.model.as_ref().and_then(|model| backend.version_of(model, &gateway.tables()));
         let expires = wanted
             .model
             .as_ref()
-            .and_then(|model| gateway.expires(model, backend.version_of(model).max(version), now));
-        let loaded = wanted.model.as_ref().and_then(|model| backend.version_of(model));
+            .and_then(|model| gateway.expires(model, loaded.max(version), now));
         let version = wanted.weights.or(loaded);
         Ok(Slot {
             backend,
@@ -317,7 +318,7 @@
 ) -> bool {
     let status = backend.status.borrow();
     let has_weights = match &wanted.model {
-        Some(model) => match (backend.version_of(model), version) {
+        Some(model) => match (backend.version_of(model, &gateway.tables()), version) {
             // A response must come from one version, from its first event to its last.
             (Some(loaded), _) if wanted.weights.is_some_and(|started| loaded != started) => false,
             (Some(loaded), required) => {
@@ -326,7 +327,7 @@
             }
             (None, _) => false,
         },
-        None => true,
+        None => backend.has_weights(&gateway.tables()),
     };
     has_weights
         && status.service == wanted.service
--- a/crates/egret_gateway/src/tables.rs
+++ b/crates/egret_gateway/src/tables.rs
@@ -72,6 +72,11 @@
         later.map(|(_, time)| *time + grace).min()
     }
 
+    /// Returns whether agents load the weights of a service's engines.
+    pub(crate) fn has_loaded_weights(&self, service: &str) -> bool {
+        self.catalog.as_ref().is_some_and(|catalog| catalog.has_loaded_weights(service))
+    }
+
     pub(crate) fn is_out(&self, data_centre: &DataCentre) -> bool {
         self.out.contains(data_centre)
     }
--- a/crates/egret_loader/src/activation.rs
+++ b/crates/egret_loader/src/activation.rs
@@ -6,6 +6,9 @@
 //! accepted the order. A piece that is intact then, and was not staged meanwhile, was intact
 //! when the engine took it. Until that is shown, the weights are not reported as loaded.
 //!
+//! What an engine holds that has accepted no order was there before any agent, and was not taken
+//! from staged pieces.
+//!
 //! While the engine loads, or holds all layers of a version without that proof, no pieces are
 //! staged: it gives them up first. So pieces that a later process finds intact are those that were taken.
 
@@ -68,6 +71,7 @@
         let loaded = || report.models.iter().filter(|loaded| loaded.complete).map(target);
         let seen = (report.incarnation, report.orders);
         match self.seen.replace(seen) {
+            None if report.orders == Some(0) => self.proven = loaded().collect(),
             None => self.inherited = loaded().collect(),
             Some(known) if known != seen => {
                 self.proven.clear();
--- a/crates/egret_loader/src/engine.rs
+++ b/crates/egret_loader/src/engine.rs
@@ -32,6 +32,9 @@
     /// The engine took the order for one that is in effect, and loaded nothing.
     #[error("the engine took the load order for one in effect; the load is retried")]
     InEffect,
+    /// The control instances have not confirmed that a record of the engine's weights is withdrawn.
+    #[error("no leader has recorded that the weights are taken anew; the load is retried")]
+    Unrecorded,
 }
 
 /// The state that an engine reports.
--- a/crates/egret_loader/src/lib.rs
+++ b/crates/egret_loader/src/lib.rs
@@ -15,6 +15,7 @@
 //! - `peer_progress`: how many pieces other agents have.
 //! - `window`: a congestion window for concurrent fetches.
 //! - `activation`: has the engine load staged weights, and proves that it took them whole.
+//! - `recorder`: records in the control state which weights are whole.
 //! - `loader`: fetches the announced version and switches the engine to it.
 
 mod activation;
@@ -24,6 +25,7 @@
 mod peer;
 mod peer_progress;
 mod queue;
+mod recorder;
 mod sources;
 mod staging;
 mod window;
@@ -35,6 +37,7 @@
 pub use peer::{PeerServer, Peers, PieceAnswer};
 pub use peer_progress::PeerProgress;
 pub use queue::{FetchQueue, PieceRequest, RetryState};
+pub use recorder::RecordState;
 pub use sources::{Source, SourceTable, fetch_order};
 pub use staging::{StagedVersion, Staging, Target};
 pub use window::{FetchWindow, pieces_within};
--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -14,6 +14,7 @@
     engine::{Engine, EngineError, EngineReport, Origin, SwitchMode},
     fetch::Fetcher,
     peer::{PeerServer, RpcPeers},
+    recorder::Recorder,
     sources::{Source, SourceTable},
     staging::{StagedVersion, Staging, Target},
     window::pieces_within,
@@ -57,6 +58,7 @@
     fetcher: Fetcher<E, O, RpcPeers>,
     engine: Rc<E>,
     activation: Activation,
+    recorder: Recorder,
     /// The last target version that was logged.
     logged_target: RefCell<Option<Target>>,
     table: RefCell<Option<CachedSources>>,
@@ -86,6 +88,7 @@
         let staging: Rc<Staging> = Rc::default();
         let peers = RpcPeers::new(own);
         let fetcher = Fetcher::new(engine.clone(), origin, peers, staging.clone());
+        let recorder = Recorder::new(follower.clone(), settings.process.engine);
         Self {
             settings,
             follower,
@@ -93,6 +96,7 @@
             fetcher,
             engine,
             activation: Activation::default(),
+            recorder,
             logged_target: RefCell::default(),
             table: RefCell::default(),
             failure: RefCell::default(),
@@ -110,6 +114,13 @@
         let server = PeerServer::new(self.staging.clone(), self.engine.clone(), upload);
         let client: peer::Client = capnp_rpc::new_client(server);
         tokio::task::spawn_local(listen(listener, client.client));
+        tokio::select! {
+            () = self.recorder.run() => Ok(()),
+            () = self.run_steps() => Ok(()),
+        }
+    }
+
+    async fn run_steps(&self) {
         let mut changes = self.follower.updates();
         loop {
             let failure = self.step().await.err();
@@ -154,7 +165,7 @@
             self.activation.unproven(&report).filter(|unproven| *unproven != target)
         {
             // Its pieces are about to be replaced.
-            match self.give_up(&unproven).await {
+            match self.give_up(&unproven, &report).await {
                 Err(error @ EngineError::Refused { .. }) => {
                     log::warn!("event=give_up_refused error=\"{error}\"");
                 }
@@ -168,6 +179,9 @@
                 Some(staged) => staged,
             };
             if self.activation.covers(&target) {
+                if staged.count() == 0 {
+                    self.fetcher.recover(&staged).await;
+                }
                 if !staged.missing().is_empty() {
                     // Other agents fetch the missing pieces from here.
                     self.fetch(&target, loaded).await?;
@@ -175,7 +189,7 @@
                 return Ok(());
             }
             if !self.activation.confirm(&self.fetcher, &staged, &report).await? {
-                return self.give_up(&target).await;
+                return self.give_up(&target, &report).await;
             }
             self.publish_loaded(&report);
             return Ok(());
@@ -184,11 +198,12 @@
         if !self.is_current(&target) || !staged.missing().is_empty() {
             return Ok(());
         }
-        self.switch(&staged, loaded).await
+        self.switch(&staged, loaded, &report).await
     }
 
     /// Makes the engine give up a version that is not known to be whole.
-    async fn give_up(&self, target: &Target) -> Result<(), EngineError> {
+    async fn give_up(&self, target: &Target, report: &EngineReport) -> Result<(), EngineError> {
+        self.recorder.withdraw(target, report).await?;
         if self.activation.inherits(target) {
             // Entries may use it, if an earlier process knew it to be whole.
             self.set_switching(true);
@@ -204,10 +219,17 @@
     /// Reports to entries and other agents which loaded weights are known to be whole.
     fn publish_loaded(&self, report: &EngineReport) {
         let Some(models) = self.activation.whole(report) else { return };
-        let loaded = EngineStatus { incarnation: report.incarnation, models };
+        let loaded =
+            EngineStatus { incarnation: report.incarnation, orders: report.orders, models };
+        self.recorder.record(&loaded);
         let published = self.follower.own_status().and_then(|process| process.loaded);
         if published.as_ref() != Some(&loaded) {
-            log::info!("event=engine_seen born={} models={:?}", loaded.incarnation, loaded.models);
+            log::info!(
+                "event=engine_seen born={} orders={:?} models={:?}",
+                loaded.incarnation,
+                loaded.orders,
+                loaded.models
+            );
             self.follower.update_status(|process| process.loaded = Some(loaded));
         }
     }
@@ -390,6 +412,7 @@
         &self,
         staged: &StagedVersion,
         loaded: Option<WeightVersion>,
+        report: &EngineReport,
     ) -> Result<(), EngineError> {
         let target = &staged.target;
         let ttl = if let Some(loaded) = loaded {
@@ -411,6 +434,7 @@
             );
             return Ok(());
         }
+        self.recorder.withdraw(target, report).await?;
         let mut mode = SwitchMode::Finish;
         if let Some(loaded) = loaded {
             self.set_switching(true);
--- a/crates/egret_loader/tests/distribution.rs
+++ b/crates/egret_loader/tests/distribution.rs
@@ -285,7 +285,11 @@
         data_centre: DataCentre::new(centre).expect("a name"),
         service: Some("engines".to_owned()),
         engine: None,
-        loaded: Some(egret_fleet::EngineStatus { incarnation: 1, models: vec![loaded] }),
+        loaded: Some(egret_fleet::EngineStatus {
+            incarnation: 1,
+            orders: None,
+            models: vec![loaded],
+        }),
         congested: false,
         switching: false,
         leaving: false,
--- a/crates/egret_loader/tests/loading.rs
+++ b/crates/egret_loader/tests/loading.rs
@@ -90,7 +90,8 @@
     for agent in &mut agents[..6] {
         let model =
             LoadedModel { model: "m".to_owned(), version: WeightVersion(1), complete: true };
-        agent.loaded = Some(egret_fleet::EngineStatus { incarnation: 1, models: vec![model] });
+        agent.loaded =
+            Some(egret_fleet::EngineStatus { incarnation: 1, orders: None, models: vec![model] });
     }
     let fleet = fleet(&agents);
     let mut random = SmallRng::seed_from_u64(1);
@@ -160,7 +161,8 @@
     // All agents restart while only one of them has the version loaded.
     let mut agents = twelve_agents();
     let model = LoadedModel { model: "m".to_owned(), version: WeightVersion(1), complete: true };
-    agents[0].loaded = Some(egret_fleet::EngineStatus { incarnation: 1, models: vec![model] });
+    agents[0].loaded =
+        Some(egret_fleet::EngineStatus { incarnation: 1, orders: None, models: vec![model] });
     let fleet = fleet(&agents);
     let first = Source::Agent(agents[0].address);
     for piece in 0..96 {
@@ -180,8 +182,11 @@
     let model = LoadedModel { model: "m".to_owned(), version: WeightVersion(1), complete: true };
     let late = ["side-03", "side-06", "side-09"];
     for agent in agents.iter_mut().filter(|agent| !late.contains(&agent.name.as_str())) {
-        agent.loaded =
-            Some(egret_fleet::EngineStatus { incarnation: 1, models: vec![model.clone()] });
+        agent.loaded = Some(egret_fleet::EngineStatus {
+            incarnation: 1,
+            orders: None,
+            models: vec![model.clone()],
+        });
     }
     let fleet = fleet(&agents);
     let mut random = SmallRng::seed_from_u64(1);
--- a/crates/egret_record/src/catalog.rs
+++ b/crates/egret_record/src/catalog.rs
@@ -273,6 +273,13 @@
         self.services.values().find_map(|service| service.origin.as_ref())
     }
 
+    /// Returns whether agents load the weights of a service's engines.
+    #[must_use]
+    pub fn has_loaded_weights(&self, service: &str) -> bool {
+        let engine = self.services.get(service).and_then(|spec| spec.engine.as_ref());
+        engine.is_some_and(|engine| !engine.models.is_empty()) && self.origin().is_some()
+    }
+
     /// Returns whether all requests of a service may be stopped and resumed elsewhere.
     #[must_use]
     pub fn is_resumable(&self, service: &str) -> bool {
--- a/crates/egret_rpc/src/connection.rs
+++ b/crates/egret_rpc/src/connection.rs
@@ -119,6 +119,11 @@
         self.open.borrow_mut().remove(&address);
     }
 
+    /// Removes all connections; each closes when its last user drops it.
+    pub fn clear(&self) {
+        self.open.borrow_mut().clear();
+    }
+
     fn slot(&self, address: SocketAddr) -> Slot<C> {
         let mut open = self.open.borrow_mut();
         if open
--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -203,6 +203,14 @@
         reply.ok().flatten()
     }
 
+    /// Closes the connections of [`call_leader`](Self::call_leader).
+    ///
+    /// An instance has too few descriptors for a connection to each agent, so those that call the
+    /// leader rarely close theirs.
+    pub fn disconnect_leader(&self) {
+        self.leader_connections.clear();
+    }
+
     fn random_instance(&self) -> Option<SocketAddr> {
         let members = self.members.borrow();
         let settings = self.settings.borrow();
@@ -433,6 +441,13 @@
             limit.stamp.incarnation,
             limit.stamp.seq
         ),
+        StatusUpdate::Weights(weights) => log::info!(
+            "event=weights_recorded engine={} born={} orders={:?} models={:?}",
+            weights.engine,
+            weights.proven.incarnation,
+            weights.proven.orders,
+            weights.proven.models
+        ),
         StatusUpdate::Suspects(suspects) => {
             log::info!(
                 "event=parts_suspected parts={} term={} seq={}",
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -377,7 +377,8 @@
     ClaimTrial(PartId),
     /// Releases a blocked part.
     ReleasePart(PartId),
-    /// Records that a backend server drains or has departed, before that is acknowledged.
+    /// Records that a backend server drains or has departed, before that is acknowledged, or which
+    /// weights of an engine are whole.
     RecordStatus {
         /// What it reported.
         update: StatusUpdate,
