Pass on final statuses only

An answer with status 101 or 600 to 999 reached callers as an answer; with the mark "not run" it became a promise (503) although the request was sent. Status 000 to 099 and interim ones did not: the HTTP library rejects or skips them.

Cause: the gateway and the shared HTTP client took any status that the library can represent for one that ends a request. Now only 200 to 599 do (RFC 9110). Any other answer is a broken one, before anything in its head is read: the request may have run. An answer stored with an impossible status was returned as 200 by the product's own interface, and is a refusal with unknown outcome now.

--- a/crates/egret_entry/src/claim.rs
+++ b/crates/egret_entry/src/claim.rs
@@ -6,6 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use egret_http::is_final;
 use egret_record::IdempotencyKey;
 use egret_route::{Code, Ran, Refusal};
 use egret_rpc::{
@@ -39,7 +40,7 @@
     let attempt = rand::random();
     match claim(dispatch, call, &key, attempt, deadline).await? {
         ClaimState::Granted => {}
-        ClaimState::Answered(answer) => return Ok(from_stored(answer)),
+        ClaimState::Answered(answer) => return from_stored(answer),
         ClaimState::InProgress => {
             let message = "the same request is under way; send it again for its answer";
             return Err(Refusal::unknown(Code::InProgress, message).retry_after(RETRY_AFTER));
@@ -64,7 +65,7 @@
         let _running = dispatch.start_request();
         let result = run_claimed(&dispatch, &call, deadline).await;
         settle(&dispatch, key, attempt, &result).await;
-        result.map(from_stored)
+        result.and_then(from_stored)
     });
     run.await.unwrap_or_else(|_| {
         Err(Refusal::unknown(Code::BrokenAnswer, "the request broke off; send it again"))
@@ -135,12 +136,22 @@
     }
 }
 
-fn from_stored(answer: StoredAnswer) -> Answer {
+/// Restores a stored answer.
+///
+/// # Errors
+///
+/// Returns a [`Refusal`] if its status is no final one: an earlier program stored any.
+fn from_stored(answer: StoredAnswer) -> Result<Answer, Refusal> {
+    let status = StatusCode::from_u16(answer.status).ok().filter(|status| is_final(*status));
+    let status = status.ok_or_else(|| {
+        let message = "the stored answer has no valid status; find out whether the request ran";
+        Refusal::unknown(Code::BrokenAnswer, message)
+    })?;
     let content_type = HeaderValue::from_str(&answer.content_type);
-    Answer {
-        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+    Ok(Answer {
+        status,
         content_type: content_type.unwrap_or(HeaderValue::from_static("application/octet-stream")),
         version: None,
         body: AnswerBody::Whole(answer.body.into()),
-    }
+    })
 }
--- a/crates/egret_gateway/src/attempt.rs
+++ b/crates/egret_gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use egret_fleet::START_DELAY_MAX;
-use egret_http::is_joined;
+use egret_http::{is_final, is_joined};
 use egret_record::PartList;
 use egret_route::Failure;
 use http::{
@@ -143,6 +143,13 @@
         backend.breaker.borrow_mut().record_failure(Failure::BadResponse, gateway.now());
         return Outcome::Broken;
     }
+    if !is_final(response.status()) {
+        // Whatever else its head states, it is no proof of what became of the request.
+        outcome("no_status", &format_args!("status={}", response.status().as_str()));
+        backend.close_idle();
+        backend.breaker.borrow_mut().record_failure(Failure::BadResponse, gateway.now());
+        return Outcome::Broken;
+    }
     let (head, body) = response.into_parts();
     let meta = gateway.protocol.backend_head(&head);
     gateway.record_back_off(backend, &meta);
--- a/crates/egret_http/src/client.rs
+++ b/crates/egret_http/src/client.rs
@@ -13,7 +13,7 @@
 };
 use thiserror::Error;
 
-use crate::joined::is_joined;
+use crate::{joined::is_joined, status::is_final};
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -110,6 +110,10 @@
             let reason = "the head of the response continues that of another one";
             return Err(SendError::MaybeSent(reason.to_owned()));
         }
+        if !is_final(response.status()) {
+            let reason = format!("status {} does not end a request", response.status().as_str());
+            return Err(SendError::MaybeSent(reason));
+        }
         Ok(response)
     }
 }
