Hear a process whose clock stepped back before it restarted

Reports of a process are ordered by when it started, by its own clock. If that clock had stepped back since its predecessor started, control instances took its reports for late ones of an earlier process, and nobody heard it until the clock had caught up; an agent could not say which weights are whole meanwhile.

A follower that hears of an earlier process of its own name with a later start now counts its own as the next one. Only a process in its first 30 s does so, so that one that was frozen does not overtake its successor. Old reports stay old.

The demands that entries send to agents have an incarnation of their own by the same clock; that is not changed here.

--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -13,7 +13,10 @@
     time::Duration,
 };
 
-use egret_fleet::{Feed, FeedCursor, Fleet, ProcessStatus, StatusUpdate, Unconfirmed, UpdateKind};
+use egret_fleet::{
+    Feed, FeedCursor, Fleet, ProcessStatus, StatusKey, StatusStamp, StatusUpdate, Unconfirmed,
+    UpdateKind,
+};
 use egret_record::{FastMap, PartList, RateLimit, View, WeightVersion};
 use futures::{StreamExt as _, stream::FuturesUnordered};
 use rand::{RngExt as _, seq::SliceRandom as _};
@@ -266,6 +269,33 @@
         }
     }
 
+    /// Makes the reports of this process later than an update about an earlier process of its name.
+    ///
+    /// The clock may have stepped back since that process started, so that its incarnation is the
+    /// later one. Only a process that has just started overtakes another: of two that run under one
+    /// name, the one that started first must not.
+    fn overtake(&self, update: &StatusUpdate) {
+        /// Time after the start in which a process hears of its predecessor; several of the times
+        /// after which silent processes are forgotten.
+        const START_PERIOD: Duration = Duration::from_secs(30);
+        let name = match update {
+            StatusUpdate::Process(process) => &process.name,
+            StatusUpdate::Gone(StatusKey::Process(name), _) => name,
+            _ => return,
+        };
+        let incarnation = update.stamp().incarnation;
+        let mut own = self.own_status.borrow_mut();
+        if let Some(own) = own.as_mut()
+            && own.name == *name
+            && own.stamp.incarnation < incarnation
+            && self.start.elapsed() < START_PERIOD
+        {
+            log::warn!("event=clock_behind born={} earlier={incarnation}", own.stamp.incarnation);
+            own.stamp = StatusStamp { incarnation: incarnation + 1, seq: 0 };
+            self.status_changed.notify_one();
+        }
+    }
+
     /// Long-polls an instance until it is unhealthy.
     async fn poll(&self, address: SocketAddr) {
         loop {
@@ -346,6 +376,7 @@
         unconfirmed.set_contact(reply.has_leader, now);
         reply.feed.updates.iter().for_each(|update| unconfirmed.confirm(update));
         for update in reply.feed.updates.into_iter().chain(unconfirmed.departures(&fleet, now)) {
+            self.overtake(&update);
             if fleet.observe(&update, now) == UpdateKind::Change {
                 changed = true;
                 log_update(&update);
