--- a/crates/egret_gateway/src/backend.rs
+++ b/crates/egret_gateway/src/backend.rs
@@ -174,15 +174,15 @@
             Some(observed) if observed.incarnation == status.stamp.incarnation => {
                 version_of(&observed.models, model)
             }
-            None if !tables.has_loaded_weights(&status.service) => status.version_of(model),
+            None if !tables.is_loaded_by_agents(&status.service) => status.version_of(model),
             _ => None,
         }
     }
 
     /// Returns whether it can serve a request that names no model.
-    pub(crate) fn has_weights(&self, tables: &Tables) -> bool {
+    pub(crate) fn has_whole_weights(&self, tables: &Tables) -> bool {
         let status = self.status.borrow();
-        !tables.has_loaded_weights(&status.service)
+        !tables.is_loaded_by_agents(&status.service)
             || self.observed.borrow().as_ref().is_some_and(|observed| {
                 observed.incarnation == status.stamp.incarnation
                     && observed.models.iter().any(|loaded| loaded.complete)
--- a/crates/egret_gateway/src/slots.rs
+++ b/crates/egret_gateway/src/slots.rs
@@ -316,9 +316,9 @@
     wanted: &SlotRequest,
     version: Option<WeightVersion>,
 ) -> bool {
-    let status = backend.status.borrow();
+    let (status, tables) = (backend.status.borrow(), gateway.tables());
     let has_weights = match &wanted.model {
-        Some(model) => match (backend.version_of(model, &gateway.tables()), version) {
+        Some(model) => match (backend.version_of(model, &tables), version) {
             // A response must come from one version, from its first event to its last.
             (Some(loaded), _) if wanted.weights.is_some_and(|started| loaded != started) => false,
             (Some(loaded), required) => {
@@ -327,13 +327,13 @@
             }
             (None, _) => false,
         },
-        None => backend.has_weights(&gateway.tables()),
+        None => backend.has_whole_weights(&tables),
     };
     has_weights
         && status.service == wanted.service
         && !status.draining
         && !backend.back_off.get().is_leaving()
-        && !gateway.tables().is_out(&status.data_centre)
+        && !tables.is_out(&status.data_centre)
         && wanted.regions.iter().all(|regions| gateway.is_in_regions(&status.data_centre, regions))
         && !gateway.is_switching(&status.address)
 }
--- a/crates/egret_gateway/src/tables.rs
+++ b/crates/egret_gateway/src/tables.rs
@@ -73,8 +73,8 @@
     }
 
     /// Returns whether agents load the weights of a service's engines.
-    pub(crate) fn has_loaded_weights(&self, service: &str) -> bool {
-        self.catalog.as_ref().is_some_and(|catalog| catalog.has_loaded_weights(service))
+    pub(crate) fn is_loaded_by_agents(&self, service: &str) -> bool {
+        self.catalog.as_ref().is_some_and(|catalog| catalog.is_loaded_by_agents(service))
     }
 
     pub(crate) fn is_out(&self, data_centre: &DataCentre) -> bool {
--- a/crates/egret_record/src/catalog.rs
+++ b/crates/egret_record/src/catalog.rs
@@ -275,7 +275,7 @@
 
     /// Returns whether agents load the weights of a service's engines.
     #[must_use]
-    pub fn has_loaded_weights(&self, service: &str) -> bool {
+    pub fn is_loaded_by_agents(&self, service: &str) -> bool {
         let engine = self.services.get(service).and_then(|spec| spec.engine.as_ref());
         engine.is_some_and(|engine| !engine.models.is_empty()) && self.origin().is_some()
     }
