Spread the records of weights that an engine held before its agent started

After a restart of all processes each agent proves again what its predecessor knew and recorded it at once; on the large fleets these are more than a hundred connections to a leader with 0.075 of a core, while all processes come back. Such a record is sent after 0.5 to 5 s: an earlier process most likely made the same one. Weights that this process had the engine take are recorded at once, and so are withdrawals.

--- a/crates/egret_loader/src/loader.rs
+++ b/crates/egret_loader/src/loader.rs
@@ -156,6 +156,7 @@
     async fn step(&self) -> Result<(), EngineError> {
         self.set_congested(self.fetcher.window.is_congested());
         let report = self.activation.report(&*self.engine).await?;
+        self.recorder.observe(&report);
         self.publish_loaded(&report);
         if report.busy {
             return Err(EngineError::Busy);
--- a/crates/egret_loader/src/recorder.rs
+++ b/crates/egret_loader/src/recorder.rs
@@ -4,10 +4,17 @@
 //! name weights that the engine took after it was made: before an order for a version that may be
 //! recorded already, the record is withdrawn, and the order waits until that is replicated.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    ops::Range,
+    rc::Rc,
+    time::Duration,
+};
 
 use egret_fleet::{EngineStatus, LoadedModel, ProvenWeights, StatusUpdate};
 use egret_rpc::{Command, Follower, Reply, Request, UnixMillis};
+use rand::RngExt as _;
 use tokio::{
     sync::watch,
     time::{sleep, timeout},
@@ -20,6 +27,10 @@
 
 /// Timeout of a request to the leader of the control instances.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bounds of the random delay before weights are recorded that the engine held when this process
+/// started, in milliseconds. An earlier process most likely recorded them, and after a restart of all
+/// processes the records of all agents at once would occupy the leader.
+const INHERITED_DELAY_MILLIS: Range<u64> = 500..5_000;
 /// Delay before a retry when no leader has answered.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Time for which an order waits until a record is withdrawn, before its load is retried.
@@ -88,6 +99,8 @@
     /// The address of the engine; without one, entries cannot use it and nothing is recorded.
     engine: Option<SocketAddr>,
     state: RefCell<RecordState>,
+    /// The engine's incarnation and its count of orders when this process first saw it.
+    initial: Cell<Option<(u64, Option<u64>)>>,
     /// The record to be made.
     wanted: watch::Sender<Option<EngineStatus>>,
     /// The last record that is known to be replicated.
@@ -97,7 +110,14 @@
 impl Recorder {
     pub(crate) fn new(follower: Rc<Follower>, engine: Option<SocketAddr>) -> Self {
         let (wanted, confirmed) = (watch::Sender::new(None), watch::Sender::new(None));
-        Self { follower, engine, state: RefCell::default(), wanted, confirmed }
+        let (state, initial) = (RefCell::default(), Cell::default());
+        Self { follower, engine, state, initial, wanted, confirmed }
+    }
+
+    /// Notes the state of the engine, of which the first one counts.
+    pub(crate) fn observe(&self, report: &EngineReport) {
+        let first = self.initial.get().unwrap_or((report.incarnation, report.orders));
+        self.initial.set(Some(first));
     }
 
     /// Records weights that are known to be whole, as soon as a leader can be reached.
@@ -106,7 +126,13 @@
     /// would name what a later incarnation takes as well.
     pub(crate) fn record(&self, proven: &EngineStatus) {
         if proven.incarnation > 0 && !proven.models.is_empty() {
-            self.wanted.send_replace(Some(proven.clone()));
+            self.wanted.send_if_modified(|wanted| {
+                let is_new = wanted.as_ref() != Some(proven);
+                if is_new {
+                    *wanted = Some(proven.clone());
+                }
+                is_new
+            });
         }
     }
 
@@ -147,6 +173,13 @@
                 }
                 continue;
             };
+            let is_inherited = self.initial.get() == Some((record.incarnation, record.orders));
+            if is_inherited && !record.models.is_empty() {
+                let delay = rand::rng().random_range(INHERITED_DELAY_MILLIS);
+                if timeout(Duration::from_millis(delay), wanted.changed()).await.is_ok() {
+                    continue;
+                }
+            }
             self.state.borrow_mut().begin(&record);
             let update = StatusUpdate::Weights(ProvenWeights { engine, proven: record.clone() });
             let recorded_at = UnixMillis::default();
