Replicate proven weights of many engines with one entry of the log

Each record of an engine's weights was an entry of its own.

The leader now proposes all weights that were proven within 0.3 s together, so a rollout costs some entries instead of one for each engine. A record that the state has already is answered without an entry, as before.

--- a/crates/egret_control/src/commands.rs
+++ b/crates/egret_control/src/commands.rs
@@ -42,6 +42,12 @@
                 self.recorded.record(update, recorded_at);
                 self.accepted()
             }
+            Command::RecordWeights { updates, recorded_at } => {
+                for update in updates {
+                    self.recorded.record(update, recorded_at);
+                }
+                self.accepted()
+            }
         }
     }
 
--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     leases::Leases, membership_policy::MembershipPolicy, peers::Peers, permits::Permits,
-    quarantine::Quarantine, state::State,
+    quarantine::Quarantine, server::unix_time, state::State,
 };
 
 /// Limit of inputs that are handled before one sync of the disk for all of them.
@@ -78,6 +78,10 @@
     pending: BTreeMap<Index, PendingProposal>,
     /// When a plan was last proposed.
     planned_at: Duration,
+    /// Proven weights that are not proposed yet, while this member is the leader.
+    unrecorded: Vec<StatusUpdate>,
+    /// When proven weights were last proposed.
+    recorded_at: Duration,
     /// Whether this member was fresh at the last check.
     was_fresh: bool,
     start: Instant,
@@ -117,6 +121,8 @@
             unsaved: None,
             pending: BTreeMap::new(),
             planned_at: Duration::ZERO,
+            unrecorded: Vec::new(),
+            recorded_at: Duration::ZERO,
             was_fresh: false,
             start: parts.start,
             lease_duration: parts.lease_duration,
@@ -323,6 +329,7 @@
             }
             self.permits = None;
             self.quarantine = None;
+            self.unrecorded.clear();
             for (_, proposal) in std::mem::take(&mut self.pending) {
                 let _ = proposal.reply.send(None);
             }
@@ -340,6 +347,7 @@
         self.end_expired_sessions(now);
         self.review_parts(now);
         self.plan_if_due(now);
+        self.record_if_due(now);
         self.promote_learners(now);
         self.apply_membership_policy(now);
     }
@@ -388,6 +396,25 @@
         }
     }
 
+    /// Records proven weights of an engine with the next entry of the log that does so.
+    pub(crate) fn queue_weights(&mut self, update: StatusUpdate) {
+        self.unrecorded.push(update);
+    }
+
+    /// Proposes one entry for all weights that were proven recently.
+    fn record_if_due(&mut self, now: Duration) {
+        /// Shortest time between two entries. Each entry brings the next snapshot closer, and a
+        /// rollout to hundreds of engines should cost none.
+        const RECORD_PERIOD: Duration = Duration::from_millis(300);
+        if self.unrecorded.is_empty() || now < self.recorded_at + RECORD_PERIOD {
+            return;
+        }
+        self.recorded_at = now;
+        let updates = std::mem::take(&mut self.unrecorded);
+        let command = Command::RecordWeights { updates, recorded_at: unix_time() };
+        let _ = self.node.propose(Payload::Command(encode(&command)), now);
+    }
+
     fn end_expired_sessions(&mut self, now: Duration) {
         let Some(leases) = &mut self.leases else { return };
         let sessions = &self.state.sessions;
@@ -482,6 +509,9 @@
                 }
             }
             Command::RecordStatus { update, .. } => self.observe(update),
+            Command::RecordWeights { updates, .. } => {
+                updates.iter().for_each(|update| self.observe(update));
+            }
             _ => {}
         }
         Some(self.state.apply(command))
--- a/crates/egret_control/src/server.rs
+++ b/crates/egret_control/src/server.rs
@@ -75,13 +75,14 @@
 
     pub(crate) async fn call(&self, request: Request) -> Answer<Reply> {
         match request {
-            Request::Command(command) => {
-                if self.has_recorded(&command) {
-                    let revision = self.core.borrow().state.view().revision;
-                    return Answer::Done(Reply::Accepted { revision });
+            Request::Command(command) => match *command {
+                Command::RecordStatus { update: update @ StatusUpdate::Weights(_), .. } => {
+                    self.record_weights(update).await
                 }
-                self.submit(|reply| Input::Propose(with_leader_time(*command), reply)).await
-            }
+                command => {
+                    self.submit(|reply| Input::Propose(with_leader_time(command), reply)).await
+                }
+            },
             Request::Query(query) => self.query(query).await,
             Request::Watch(watch) => {
                 Answer::Done(Reply::Watched(Box::new(self.watch(watch).await)))
@@ -130,11 +131,30 @@
         }
     }
 
-    /// Returns whether this instance is the leader and has recorded the status of a command.
-    fn has_recorded(&self, command: &Command) -> bool {
-        let core = self.core.borrow();
-        matches!(command, Command::RecordStatus { update, .. }
-            if core.leads() && core.state.recorded.covers(update))
+    /// Replies once proven weights of an engine, or later ones, are replicated.
+    async fn record_weights(&self, update: StatusUpdate) -> Answer<Reply> {
+        /// Interval at which the leadership is checked, which ends without a notification.
+        const CHECK_PERIOD: Duration = Duration::from_millis(250);
+        let urgent = self.core.borrow().urgent();
+        let mut is_queued = false;
+        loop {
+            let notified = urgent.notified();
+            {
+                let mut core = self.core.borrow_mut();
+                if !core.leads() {
+                    return self.not_leader_of(&core);
+                }
+                if core.state.recorded.covers(&update) {
+                    let revision = core.state.view().revision;
+                    return Answer::Done(Reply::Accepted { revision });
+                }
+                if !is_queued {
+                    core.queue_weights(update.clone());
+                    is_queued = true;
+                }
+            }
+            let _ = timeout(CHECK_PERIOD, notified).await;
+        }
     }
 
     /// Sends a request to the leader, which may be this instance, until `deadline`.
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -378,7 +378,7 @@
     /// Releases a blocked part.
     ReleasePart(PartId),
     /// Records that a backend server drains or has departed, before that is acknowledged, or which
-    /// weights of an engine are whole.
+    /// weights of an engine are whole; the leader replicates the latter as [`Self::RecordWeights`].
     RecordStatus {
         /// What it reported.
         update: StatusUpdate,
@@ -386,6 +386,14 @@
         #[serde(rename = "at")]
         recorded_at: UnixMillis,
     },
+    /// Records which weights of some engines are whole.
+    RecordWeights {
+        /// The updates of the engines.
+        updates: Vec<StatusUpdate>,
+        /// When they are recorded, by the leader's clock.
+        #[serde(rename = "at")]
+        recorded_at: UnixMillis,
+    },
 }
 
 /// A read of the control state.
