--- /dev/null
+++ b/review/tool-3/src/main.rs
@@ -0,0 +1,70 @@
+//! Cases of the third review that are scripts.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod deployment;
+mod engine;
+mod platform;
+mod record;
+mod server;
+mod spoilt_list;
+mod weights;
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use record::Record;
+
+/// Longest run of a case.
+const LIMIT: Duration = Duration::from_secs(110);
+
+/// What a case found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Held,
+    Broken,
+    CannotRun,
+}
+
+/// Where a case finds its files, and whether the disruption happens.
+#[derive(Debug)]
+struct Setting {
+    /// The folder of the project's programs.
+    programs: PathBuf,
+    /// A folder that is removed after the run.
+    scratch: PathBuf,
+    trouble: bool,
+    record: Record,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(case), Some(programs), Some(scratch), Some(record)) =
+        (arguments.next(), arguments.next(), arguments.next(), arguments.next())
+    else {
+        eprintln!("usage: review_3 CASE PROGRAMS SCRATCH RECORD");
+        return ExitCode::from(2);
+    };
+    let Ok(record) = Record::create(record.as_ref()) else { return ExitCode::from(2) };
+    let setting = Setting {
+        programs: programs.into(),
+        scratch: scratch.into(),
+        trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
+        record,
+    };
+    let run = async {
+        match case.as_str() {
+            "spoilt-list" => spoilt_list::run(&setting).await,
+            _ => Outcome::CannotRun,
+        }
+    };
+    // Whatever a case has started is killed when it is dropped.
+    let outcome = tokio::time::timeout(LIMIT, run).await.unwrap_or(Outcome::CannotRun);
+    setting.record.line(&format!("outcome {outcome:?}"));
+    println!("{case}: {outcome:?}");
+    ExitCode::from(match outcome {
+        Outcome::Held => 0,
+        Outcome::Broken => 1,
+        Outcome::CannotRun => 2,
+    })
+}
