--- a/review/tool-3/src/deployment.rs
+++ b/review/tool-3/src/deployment.rs
@@ -7,7 +7,6 @@
     process::{Child, Command, Stdio},
 };
 
-use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
 /// The data centres, each a region of its own.
@@ -193,13 +192,6 @@
         self.write_settings(process, None, false).expect("the folder is writable");
     }
 
-    /// Sends a signal to a process.
-    pub(crate) fn signal(&self, index: usize, signal: Signal) {
-        if let Some(child) = &self.processes[index].child {
-            kill_process(Pid::from_child(child), signal).expect("it runs");
-        }
-    }
-
     /// Returns the names of the processes that ended by themselves.
     pub(crate) fn ended(&mut self) -> Vec<String> {
         let ended = self.processes.iter_mut().filter_map(|process| {
@@ -226,7 +218,6 @@
 impl Drop for Deployment {
     fn drop(&mut self) {
         for index in 0..self.processes.len() {
-            // A stopped process must go on to be killed on some systems.
             self.kill(index);
         }
     }
--- a/review/tool-3/src/engine.rs
+++ b/review/tool-3/src/engine.rs
@@ -30,20 +30,6 @@
 const EVENTS: u64 = 6;
 const EVENT_PERIOD: Duration = Duration::from_millis(20);
 
-/// A layer that the engine has taken.
-#[derive(Debug, Clone, Copy)]
-struct Layer {
-    version: u64,
-    /// For how long a piece of it had been bad when it was taken.
-    bad_for: Option<Duration>,
-}
-
-#[derive(Debug, Clone)]
-struct Staged {
-    content: Bytes,
-    since: Instant,
-}
-
 /// The state of a runner.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -51,36 +37,53 @@
     born: u64,
     orders: u64,
     seq: u64,
-    layers: Vec<Option<Layer>>,
-    loading: Option<(Instant, Vec<Option<Layer>>)>,
-    pieces: BTreeMap<u32, Staged>,
+    /// The version of each layer that is loaded.
+    layers: Vec<Option<u64>>,
+    loading: Option<(Instant, Vec<Option<u64>>)>,
+    pieces: BTreeMap<u32, Bytes>,
     active: usize,
+    /// Whether it leaves.
+    pub(crate) leaving: bool,
     /// Requests that were run.
     pub(crate) ran: u64,
-    /// Requests that were run with a layer of which a piece had been bad for over three seconds.
-    pub(crate) ran_spoilt: u64,
+    /// When requests arrived that it did not turn away with 421.
+    pub(crate) arrivals: Vec<Duration>,
 }
 
 impl State {
     /// Holds and has staged version 1, as runners that are present at the start may.
     pub(crate) fn new(name: &str) -> Self {
-        let since = Instant::now();
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-        let staged = |index| (index, Staged { content: content(1, index), since });
         Self {
             name: name.to_owned(),
-            born: u64::try_from(born).unwrap_or_default(),
+            born: unix_millis(Duration::ZERO),
             orders: 0,
             seq: 0,
-            layers: vec![Some(Layer { version: 1, bad_for: None }); LAYERS as usize],
+            layers: vec![Some(1); LAYERS as usize],
             loading: None,
-            pieces: (0..PIECES).map(staged).collect(),
+            pieces: (0..PIECES).map(|index| (index, content(1, index))).collect(),
             active: 0,
+            leaving: false,
             ran: 0,
-            ran_spoilt: 0,
+            arrivals: Vec::new(),
         }
     }
 
+    /// Begins a new lifetime under the same id; what is staged stays.
+    ///
+    /// `ahead` is how far the clock of its machine is ahead of the true time.
+    pub(crate) fn restart(&mut self, ahead: Duration) {
+        self.born = unix_millis(ahead);
+        self.orders = 0;
+        self.seq = 0;
+        self.layers = vec![None; LAYERS as usize];
+        self.loading = None;
+        self.active = 0;
+    }
+
+    pub(crate) const fn born(&self) -> u64 {
+        self.born
+    }
+
     fn finish_loading(&mut self) {
         if let Some((_, layers)) = self.loading.take_if(|(done, _)| Instant::now() >= *done) {
             self.layers = layers;
@@ -91,7 +94,7 @@
     fn held(&self) -> Option<(u32, u32, u64)> {
         let first = self.layers.iter().position(Option::is_some)?;
         let last = self.layers.iter().rposition(Option::is_some)?;
-        let version = self.layers[first]?.version;
+        let version = self.layers[first]?;
         Some((u32::try_from(first).ok()?, u32::try_from(last + 1).ok()?, version))
     }
 
@@ -101,18 +104,6 @@
         self.held().filter(|(from, target, _)| (*from, *target) == (0, LAYERS)).map(|held| held.2)
     }
 
-    fn take(&self, layer: u32, version: u64) -> Layer {
-        let pieces = layer * PIECES / LAYERS..((layer + 1) * PIECES).div_ceil(LAYERS);
-        let bad_for = pieces
-            .filter_map(|index| match self.pieces.get(&index) {
-                Some(staged) if staged.content == content(version, index) => None,
-                Some(staged) => Some(staged.since.elapsed()),
-                None => Some(Duration::MAX),
-            })
-            .max();
-        Layer { version, bad_for }
-    }
-
     fn order(&mut self, order: &Value) -> StatusCode {
         self.finish_loading();
         let expected = order["expected"].as_u64();
@@ -137,9 +128,9 @@
         let mut layers = vec![None; LAYERS as usize];
         let mut taken = 0;
         for layer in from..target {
-            let kept = self.layers[layer as usize].filter(|_| keeps);
-            taken += u32::from(kept.is_none());
-            layers[layer as usize] = Some(kept.unwrap_or_else(|| self.take(layer, version)));
+            let is_kept = keeps && self.layers[layer as usize].is_some();
+            taken += u32::from(!is_kept);
+            layers[layer as usize] = Some(version);
         }
         if !keeps {
             self.layers = vec![None; LAYERS as usize];
@@ -172,7 +163,7 @@
         let (models, layers) = self.models();
         json!({
             "service": service, "addr": address, "zone": zone, "version": "v1", "slots": SLOTS,
-            "state": "ready", "cold_left_ms": 0, "phase": "both", "models": models,
+            "state": if self.leaving { "draining" } else { "ready" }, "cold_left_ms": 0, "phase": "both", "models": models,
             "layers": layers, "seq": self.seq, "born": self.born,
         })
     }
@@ -200,14 +191,13 @@
                 Response::new(full(json!({ "held": held }).to_string()))
             }
             (&Method::GET, "stage-get", Some(index)) => {
-                match self.lock().pieces.get(&index).map(|staged| staged.content.clone()) {
+                match self.lock().pieces.get(&index).cloned() {
                     Some(content) => Response::new(full(content)),
                     None => plain(StatusCode::NOT_FOUND),
                 }
             }
             (&Method::PUT, "stage-put", Some(index)) => {
-                let staged = Staged { content: request.body, since: Instant::now() };
-                self.lock().pieces.insert(index, staged);
+                self.lock().pieces.insert(index, request.body);
                 plain(StatusCode::OK)
             }
             (&Method::POST, "order", _) => {
@@ -233,7 +223,7 @@
                 .body(full(""));
             response.expect("a valid response")
         };
-        let version = {
+        let (version, leaving) = {
             let mut state = self.lock();
             let expected = request.header("x-expect-instance");
             if expected.is_some_and(|expected| expected != state.name) {
@@ -247,19 +237,14 @@
                 return reject(StatusCode::MISDIRECTED_REQUEST);
             };
             if state.active >= SLOTS {
+                state.arrivals.push(self.record.now());
                 return reject(StatusCode::SERVICE_UNAVAILABLE);
             }
             state.active += 1;
             state.ran += 1;
-            let bad_for = state.layers.iter().flatten().filter_map(|layer| layer.bad_for).max();
-            if let Some(bad_for) = bad_for.filter(|bad_for| *bad_for > Duration::from_secs(3)) {
-                state.ran_spoilt += 1;
-                self.record.line(&format!(
-                    "{} run request={id} with a layer of which a piece was bad for {bad_for:?}",
-                    state.name
-                ));
-            }
-            version
+            state.arrivals.push(self.record.now());
+            self.record.line(&format!("{} runs request={id}", state.name));
+            (version, state.leaving)
         };
         let slot = Slot(self.state.clone());
         let events = stream::iter(1..=EVENTS).then(move |event| {
@@ -270,7 +255,11 @@
                 Ok::<_, std::io::Error>(Frame::data(Bytes::from(text)))
             }
         });
-        let response = Response::builder()
+        let mut response = Response::builder();
+        if leaving {
+            response = response.header("server-leaving", "1");
+        }
+        let response = response
             .header("x-request-id", &id)
             .header("x-stamp", format!("3e1b.{id}"))
             .header("x-weight-versions", version)
@@ -280,6 +269,11 @@
     }
 }
 
+fn unix_millis(ahead: Duration) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default() + ahead;
+    u64::try_from(now.as_millis()).unwrap_or_default()
+}
+
 /// A running request, which ends when dropped.
 #[derive(Debug)]
 struct Slot(Arc<Mutex<State>>);
@@ -287,7 +281,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         if let Ok(mut state) = self.0.lock() {
-            state.active -= 1;
+            state.active = state.active.saturating_sub(1);
         }
     }
 }
--- a/review/tool-3/src/main.rs
+++ b/review/tool-3/src/main.rs
@@ -8,7 +8,9 @@
 mod record;
 mod server;
 mod spoilt_list;
+mod stepped_clock;
 mod weights;
+mod world;
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
@@ -55,6 +57,7 @@
     let run = async {
         match case.as_str() {
             "spoilt-list" => spoilt_list::run(&setting).await,
+            "stepped-clock" => stepped_clock::run(&setting).await,
             _ => Outcome::CannotRun,
         }
     };
--- a/review/tool-3/src/platform.rs
+++ b/review/tool-3/src/platform.rs
@@ -19,7 +19,7 @@
     weights::{MODEL, PIECES},
 };
 
-/// The service of the model runners, the plain service, and the origin's.
+/// The service of the model runners.
 pub(crate) const ENGINES: &str = "huvo11a";
 pub(crate) const HOST: &str = "hulo84.example";
 pub(crate) const KEY: &str = "jnbanfqasnmgkcuyj8pj";
@@ -156,7 +156,6 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
     pub(crate) sent: Duration,
-    pub(crate) status: Option<u16>,
     pub(crate) served: bool,
 }
 
@@ -164,7 +163,7 @@
 pub(crate) type Attempts = Arc<Mutex<Vec<Attempt>>>;
 
 /// Returns a request of a client for a stream.
-pub(crate) fn stream_request(entry: SocketAddr) -> (String, Request<Full<Bytes>>) {
+pub(crate) fn stream_request() -> (String, Request<Full<Bytes>>) {
     let id = format!("{:016x}", rand::random::<u64>());
     let part = format!("5c1e07a2:40,{:08x}:600", rand::random::<u32>());
     let request = Request::post(format!("/xapu221/{:x}", rand::random::<u16>()))
@@ -175,7 +174,6 @@
         .header("x-prefix-hash", part)
         .header("x-deadline-ms", "6000")
         .header("authorization", format!("Token {KEY}"))
-        .header("x-client", entry.to_string())
         .body(Full::new(Bytes::from_static(b"{\"prompt\":\"netlist\"}")));
     (id, request.expect("a valid request"))
 }
@@ -193,7 +191,7 @@
         number += 1;
         let (record, attempts) = (record.clone(), attempts.clone());
         tokio::spawn(async move {
-            let (id, request) = stream_request(entry);
+            let (id, request) = stream_request();
             let sent = record.now();
             let answer = send(entry, request, Duration::from_secs(6)).await;
             let status = answer.as_ref().map(|answer| answer.status.as_u16());
@@ -206,7 +204,7 @@
                 "client request={id} sent={:.3} status={status:?} served={served}",
                 sent.as_secs_f64()
             ));
-            attempts.lock().expect("no panic").push(Attempt { sent, status, served });
+            attempts.lock().expect("no panic").push(Attempt { sent, served });
         });
         sleep(period).await;
     }
--- a/review/tool-3/src/server.rs
+++ b/review/tool-3/src/server.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpStream},
+    task::{AbortHandle, JoinSet},
     time::timeout,
 };
 
@@ -39,42 +40,55 @@
     Full::new(body.into()).map_err(|never| match never {}).boxed()
 }
 
-/// Serves requests at an address, one task for each connection, until the process ends.
+/// A server that ends, with its connections, when dropped.
+#[derive(Debug)]
+pub(crate) struct Server(AbortHandle);
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Serves requests at an address, one task for each connection.
 pub(crate) async fn serve<F: Future<Output = Response<Body>> + Send + 'static>(
     address: SocketAddr,
     respond: impl Fn(Received) -> F + Clone + Send + Sync + 'static,
-) -> std::io::Result<()> {
+) -> std::io::Result<Server> {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(async move {
+    let accept = async move {
+        let mut connections = JoinSet::new();
         loop {
+            while connections.try_join_next().is_some() {}
             let Ok((stream, _)) = listener.accept().await else { continue };
             let _ = stream.set_nodelay(true);
             let respond = respond.clone();
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 let service = service_fn(move |request: Request<Incoming>| {
                     let respond = respond.clone();
-                    async move {
-                        let (head, body) = request.into_parts();
-                        let body = body.collect().await.map(http_body_util::Collected::to_bytes);
-                        let query = head.uri.query().unwrap_or_default().split('&');
-                        let received = Received {
-                            method: head.method,
-                            path: head.uri.path().to_owned(),
-                            query: query
-                                .filter_map(|pair| pair.split_once('='))
-                                .map(|(name, value)| (name.to_owned(), value.to_owned()))
-                                .collect(),
-                            headers: head.headers,
-                            body: body.unwrap_or_default(),
-                        };
-                        Ok::<_, Infallible>(respond(received).await)
-                    }
+                    async move { Ok::<_, Infallible>(respond(receive(request).await).await) }
                 });
                 let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
             });
         }
-    });
-    Ok(())
+    };
+    Ok(Server(tokio::spawn(accept).abort_handle()))
+}
+
+async fn receive(request: Request<Incoming>) -> Received {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map(http_body_util::Collected::to_bytes);
+    let query = head.uri.query().unwrap_or_default().split('&');
+    Received {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: query
+            .filter_map(|pair| pair.split_once('='))
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect(),
+        headers: head.headers,
+        body: body.unwrap_or_default(),
+    }
 }
 
 /// An answer as a client received it; `body` is `None` if it broke off.
