Review: hundreds of changes of a large manifest end the core for good

Shown by review/11/run.sh: 700 routes, and changes that set another time-out on them, 60 ms apart. After 507 acknowledged changes all three processes of the core pass 256 MiB at the same moment and are killed; each does so again after every start. With TROUBLE=0 there are 10 changes.

--- a/review/tool-3/src/deployment.rs
+++ b/review/tool-3/src/deployment.rs
@@ -192,6 +192,14 @@
         self.write_settings(process, None, false).expect("the folder is writable");
     }
 
+    /// Returns the most memory that a process has used so far, in bytes; none if it does not run.
+    pub(crate) fn peak_memory(&self, index: usize) -> Option<u64> {
+        let child = self.processes[index].child.as_ref()?;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        Some(peak.trim().trim_end_matches(" kB").parse::<u64>().ok()? * 1_024)
+    }
+
     /// Returns the names of the processes that ended by themselves.
     pub(crate) fn ended(&mut self) -> Vec<String> {
         let ended = self.processes.iter_mut().filter_map(|process| {
--- a/review/tool-3/src/main.rs
+++ b/review/tool-3/src/main.rs
@@ -4,6 +4,7 @@
 
 mod deployment;
 mod engine;
+mod many_changes;
 mod platform;
 mod record;
 mod server;
@@ -15,6 +16,10 @@
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use record::Record;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
 
 /// Longest run of a case.
 const LIMIT: Duration = Duration::from_secs(110);
@@ -38,6 +43,14 @@
     record: Record,
 }
 
+/// Waits until this process is asked to stop.
+async fn terminated() {
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => drop(terminate.recv().await),
+        Err(_) => std::future::pending().await,
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
@@ -56,13 +69,18 @@
     };
     let run = async {
         match case.as_str() {
+            "many-changes" => many_changes::run(&setting).await,
             "spoilt-list" => spoilt_list::run(&setting).await,
             "stepped-clock" => stepped_clock::run(&setting).await,
             _ => Outcome::CannotRun,
         }
     };
     // Whatever a case has started is killed when it is dropped.
-    let outcome = tokio::time::timeout(LIMIT, run).await.unwrap_or(Outcome::CannotRun);
+    let outcome = tokio::select! {
+        outcome = run => outcome,
+        () = sleep(LIMIT) => Outcome::CannotRun,
+        () = terminated() => Outcome::CannotRun,
+    };
     setting.record.line(&format!("outcome {outcome:?}"));
     println!("{case}: {outcome:?}");
     ExitCode::from(match outcome {
--- a/review/tool-3/src/platform.rs
+++ b/review/tool-3/src/platform.rs
@@ -65,6 +65,40 @@
     })
 }
 
+/// The manifest with `count` further routes, each split over two services, with a time-out of their
+/// own that all of them have.
+pub(crate) fn large_manifest(
+    version: u64,
+    origin: SocketAddr,
+    count: u32,
+    timeout_ms: u64,
+) -> Value {
+    let mut document = manifest(version, origin);
+    let plain = |name: &str| {
+        json!({
+            "name": name, "health_path": "/healthz", "max_conns": 110, "protocol": "h1",
+            "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
+        })
+    };
+    let services = document["services"].as_array_mut().expect("a list");
+    services.extend([plain("wuno96b"), plain("tiro31d")]);
+    let routes = document["routes"].as_array_mut().expect("a list");
+    routes.extend((0..count).map(|index| {
+        json!({
+            "name": format!("r-idle{index:04}"), "host": format!("idle{index:04}.example"),
+            "path_prefix": format!("/nybe{index:04}/de{index:04}/"), "route_kind": "idempotent",
+            "timeout_ms": timeout_ms, "goal_ms": 150, "priority": 2,
+            "split": [
+                { "service": "wuno96b", "weight": 85 }, { "service": "tiro31d", "weight": 10 },
+                { "service": ENGINES, "weight": 5 },
+            ],
+            "max_attempts": 2, "public": false, "sticky": false, "resumable": false,
+            "gap_goal_ms": 0, "home_regions": [],
+        })
+    }));
+    document
+}
+
 /// Calls one control address after the other, following a redirect twice; returns the first answer
 /// that is final.
 pub(crate) async fn call(
--- a/review/tool-3/src/spoilt_list.rs
+++ b/review/tool-3/src/spoilt_list.rs
@@ -1,4 +1,4 @@
-//! The origin spoils one digit of one answer to a question for the list of a version's pieces.
+//! The origin spoils one digit of its first answers to questions for the list of a version's pieces.
 
 use std::time::Duration;
 
@@ -15,6 +15,8 @@
 
 /// The users' `recover_s`.
 const RECOVER: Duration = Duration::from_secs(12);
+/// Number of answers of the origin that are spoilt: one for each agent that asks it at the same time.
+const SPOILS: u32 = 2;
 /// Time for which requests are counted.
 const COUNTED: Duration = Duration::from_secs(12);
 
@@ -26,11 +28,12 @@
     tokio::spawn(traffic(record.clone(), entries, Duration::from_millis(50), attempts.clone()));
     sleep(Duration::from_secs(6)).await;
 
-    // New weights are named; the first answer with their list is spoilt in one digit.
+    // New weights are named; the first two answers with their list are spoilt in one digit.
     {
         let mut state = world.origin.state.lock().expect("no panic");
         state.newest = 2;
         state.spoil_list = setting.trouble.then_some((2, 40));
+        state.spoils = SPOILS;
     }
     let named = json!({ "model": MODEL, "version": 2 });
     if !order(record, &controls, "/v1/version-put", &named, ORDER_LIMIT).await {
--- a/review/tool-3/src/stepped_clock.rs
+++ b/review/tool-3/src/stepped_clock.rs
@@ -23,8 +23,8 @@
 
 pub(crate) async fn run(setting: &Setting) -> Outcome {
     let record = &setting.record;
-    // Four entries in the data centre of the runner that leaves.
-    let Some(mut world) = World::start(setting, &[0, 0, 0, 0]).await else {
+    // Five entries in the data centre of the runner that leaves.
+    let Some(mut world) = World::start(setting, &[0; 5]).await else {
         return Outcome::CannotRun;
     };
     let attempts = Attempts::default();
--- a/review/tool-3/src/weights.rs
+++ b/review/tool-3/src/weights.rs
@@ -40,8 +40,10 @@
 pub(crate) struct OriginState {
     /// The newest named version, from 1 on.
     pub(crate) newest: u64,
-    /// The version whose next list is spoilt, and the piece whose digest is wrong in it.
+    /// The version whose next lists are spoilt, and the piece whose digest is wrong in them.
     pub(crate) spoil_list: Option<(u64, u32)>,
+    /// How many lists are to be spoilt.
+    pub(crate) spoils: u32,
     pub(crate) lists: u32,
     pub(crate) lists_spoilt: u32,
     /// Number of times that each piece was sent.
@@ -79,7 +81,8 @@
             let mut digests: Vec<String> =
                 (0..PIECES).map(|index| digest(version, index)).collect();
             state.lists += 1;
-            let spoilt = state.spoil_list.take_if(|(spoilt, _)| *spoilt == version);
+            let is_spoilt = state.lists_spoilt < state.spoils;
+            let spoilt = state.spoil_list.filter(|(spoilt, _)| is_spoilt && *spoilt == version);
             if let Some((_, index)) = spoilt {
                 state.lists_spoilt += 1;
                 let wrong = if digests[index as usize].starts_with('0') { "1" } else { "0" };
--- a/review/tool-3/src/world.rs
+++ b/review/tool-3/src/world.rs
@@ -68,6 +68,7 @@
     pub(crate) controls: Vec<SocketAddr>,
     pub(crate) entries: Vec<SocketAddr>,
     pub(crate) origin: Origin,
+    pub(crate) origin_address: SocketAddr,
     pub(crate) runners: Vec<Runner>,
     _origin: Server,
 }
@@ -123,7 +124,16 @@
             return None;
         }
         sleep(LEAD.saturating_sub(record.now())).await;
-        Some(Self { deployment, controls, entries, origin, runners, _origin: serving.ok()? })
+        let server = serving.ok()?;
+        Some(Self {
+            deployment,
+            controls,
+            entries,
+            origin,
+            origin_address,
+            runners,
+            _origin: server,
+        })
     }
 
     /// Records what the processes say of themselves at the end.
