--- a/review/tool-3/src/deployment.rs
+++ b/review/tool-3/src/deployment.rs
@@ -97,17 +97,12 @@
             role,
             child: None,
         };
-        self.write_settings(&process, service, true).expect("the folder is writable");
+        self.write_settings(&process, service).expect("the folder is writable");
         self.processes.push(process);
         self.processes.len() - 1
     }
 
-    fn write_settings(
-        &self,
-        process: &Process,
-        service: Option<&str>,
-        first: bool,
-    ) -> std::io::Result<()> {
+    fn write_settings(&self, process: &Process, service: Option<&str>) -> std::io::Result<()> {
         let network = &self.network;
         let Network { port, .. } = *network;
         let at = |offset: u16| SocketAddr::from((process.ip, port + offset));
@@ -128,7 +123,7 @@
             "zones": { "xela-a": "xela", "guate-a": "guate", "peten-a": "peten" },
             "listen": listen, "port_range": [port, port],
             "seeds": seeds,
-            "bootstrap": first, "loss_counts": process.role == Role::Control,
+            "bootstrap": true, "loss_counts": process.role == Role::Control,
             "data_dir": Value::Null, "discovery": "register", "entry": "registry",
             "heartbeat_ms": 1_200,
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream",
@@ -152,6 +147,16 @@
         std::fs::write(&process.settings, settings.to_string())
     }
 
+    /// Changes the settings for later starts, which are not the first one of the whole system.
+    pub(crate) fn end_bootstrap(&self) -> std::io::Result<()> {
+        for process in &self.processes {
+            let text = std::fs::read_to_string(&process.settings)?;
+            let text = text.replace("\"bootstrap\":true", "\"bootstrap\":false");
+            std::fs::write(&process.settings, text)?;
+        }
+        Ok(())
+    }
+
     /// Starts a process with the command of the deploy file.
     pub(crate) fn start(&mut self, index: usize) {
         let program = match self.processes[index].role {
@@ -184,14 +189,6 @@
         }
     }
 
-    /// Kills a process, and empties its disk.
-    pub(crate) fn lose_disk(&mut self, index: usize) {
-        self.kill(index);
-        let process = &self.processes[index];
-        std::fs::remove_dir_all(&process.data).expect("its data folder exists");
-        self.write_settings(process, None, false).expect("the folder is writable");
-    }
-
     /// Returns the most memory that a process has used so far, in bytes; none if it does not run.
     pub(crate) fn peak_memory(&self, index: usize) -> Option<u64> {
         let child = self.processes[index].child.as_ref()?;
--- a/review/tool-3/src/main.rs
+++ b/review/tool-3/src/main.rs
@@ -8,7 +8,6 @@
 mod platform;
 mod record;
 mod server;
-mod spoilt_list;
 mod stepped_clock;
 mod weights;
 mod world;
@@ -70,7 +69,6 @@
     let run = async {
         match case.as_str() {
             "many-changes" => many_changes::run(&setting).await,
-            "spoilt-list" => spoilt_list::run(&setting).await,
             "stepped-clock" => stepped_clock::run(&setting).await,
             _ => Outcome::CannotRun,
         }
--- a/review/tool-3/src/many_changes.rs
+++ b/review/tool-3/src/many_changes.rs
@@ -13,7 +13,7 @@
 use crate::{
     Outcome, Setting,
     deployment::Role,
-    platform::{Attempts, call, large_manifest, order, traffic},
+    platform::{Served, call, large_manifest, order, traffic},
     record::Record,
     world::World,
 };
@@ -49,9 +49,9 @@
 pub(crate) async fn run(setting: &Setting) -> Outcome {
     let record = &setting.record;
     let Some(mut world) = World::start(setting, &[0, 1]).await else { return Outcome::CannotRun };
-    let attempts = Attempts::default();
+    let all_served = Served::default();
     let entries = world.entries.clone();
-    tokio::spawn(traffic(record.clone(), entries, Duration::from_secs(1), attempts.clone()));
+    tokio::spawn(traffic(record.clone(), entries, Duration::from_secs(1), all_served.clone()));
     let changes = if setting.trouble { CHANGES } else { 10 };
     let seen: Arc<Mutex<Seen>> = Arc::default();
     let operator = operate(
@@ -84,7 +84,7 @@
         }
     }
     let peaks: Vec<_> = cores.iter().map(|core| world.deployment.peak_memory(*core)).collect();
-    let served = attempts.lock().expect("no panic").iter().filter(|attempt| attempt.served).count();
+    let served = *all_served.lock().expect("no panic");
     record.line(&format!("requests served: {served}"));
     record.line(&format!("killed for their memory: {kills:?}; peaks at the end: {peaks:?}"));
     world.record_end(record, Role::Control, &["event=snapshot", "leadership_won"]);
--- a/review/tool-3/src/platform.rs
+++ b/review/tool-3/src/platform.rs
@@ -186,15 +186,8 @@
     }
 }
 
-/// One attempt of a client.
-#[derive(Debug, Clone)]
-pub(crate) struct Attempt {
-    pub(crate) sent: Duration,
-    pub(crate) served: bool,
-}
-
-/// The attempts of all clients so far.
-pub(crate) type Attempts = Arc<Mutex<Vec<Attempt>>>;
+/// How many requests of clients were served.
+pub(crate) type Served = Arc<Mutex<u64>>;
 
 /// Returns a request of a client for a stream.
 pub(crate) fn stream_request() -> (String, Request<Full<Bytes>>) {
@@ -217,13 +210,13 @@
     record: Record,
     entries: Vec<SocketAddr>,
     period: Duration,
-    attempts: Attempts,
+    all_served: Served,
 ) {
     let mut number = 0;
     loop {
         let entry = entries[number % entries.len()];
         number += 1;
-        let (record, attempts) = (record.clone(), attempts.clone());
+        let (record, all_served) = (record.clone(), all_served.clone());
         tokio::spawn(async move {
             let (id, request) = stream_request();
             let sent = record.now();
@@ -238,7 +231,7 @@
                 "client request={id} sent={:.3} status={status:?} served={served}",
                 sent.as_secs_f64()
             ));
-            attempts.lock().expect("no panic").push(Attempt { sent, served });
+            *all_served.lock().expect("no panic") += u64::from(served);
         });
         sleep(period).await;
     }
--- a/review/tool-3/src/stepped_clock.rs
+++ b/review/tool-3/src/stepped_clock.rs
@@ -8,7 +8,7 @@
 use crate::{
     Outcome, Setting,
     deployment::Role,
-    platform::{Attempts, call, traffic},
+    platform::{Served, call, traffic},
     world::World,
 };
 
@@ -27,8 +27,8 @@
     let Some(mut world) = World::start(setting, &[0; 5]).await else {
         return Outcome::CannotRun;
     };
-    let attempts = Attempts::default();
-    tokio::spawn(traffic(record.clone(), world.entries.clone(), PERIOD, attempts.clone()));
+    let all_served = Served::default();
+    tokio::spawn(traffic(record.clone(), world.entries.clone(), PERIOD, all_served.clone()));
     sleep(Duration::from_secs(6)).await;
 
     // The clock of the runner's machine is ahead while the runner crashes and is back.
--- a/review/tool-3/src/weights.rs
+++ b/review/tool-3/src/weights.rs
@@ -1,20 +1,14 @@
 //! True weights, and the origin that serves them.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use serde_json::json;
 use sha2::{Digest as _, Sha256};
-use tokio::time::sleep;
+use tokio::{sync::Mutex, time::sleep};
 
-use crate::{
-    record::Record,
-    server::{Body, Received, full},
-};
+use crate::server::{Body, Received, full};
 
 /// The model whose weights the engines load.
 pub(crate) const MODEL: &str = "m0";
@@ -35,27 +29,12 @@
     Sha256::digest(content(version, index)).iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-/// How often the origin was asked, and what it spoils.
-#[derive(Debug, Default)]
-pub(crate) struct OriginState {
-    /// The newest named version, from 1 on.
-    pub(crate) newest: u64,
-    /// The version whose next lists are spoilt, and the piece whose digest is wrong in them.
-    pub(crate) spoil_list: Option<(u64, u32)>,
-    /// How many lists are to be spoilt.
-    pub(crate) spoils: u32,
-    pub(crate) lists: u32,
-    pub(crate) lists_spoilt: u32,
-    /// Number of times that each piece was sent.
-    pub(crate) sent: std::collections::BTreeMap<(u64, u32), u32>,
-}
-
 /// The origin of the weights, by `GET /v1/manifest/ID` and `GET /v1/piece/ID`.
 #[derive(Debug, Clone)]
 pub(crate) struct Origin {
-    pub(crate) state: Arc<Mutex<OriginState>>,
-    pub(crate) link: Arc<tokio::sync::Mutex<()>>,
-    pub(crate) record: Record,
+    /// The newest named version, from 1 on.
+    pub(crate) newest: u64,
+    pub(crate) link: Arc<Mutex<()>>,
 }
 
 impl Origin {
@@ -69,29 +48,15 @@
     }
 
     fn respond(&self, request: &Received) -> Response<Body> {
-        let mut state = self.state.lock().expect("no panic");
-        let version = request.query("version").unwrap_or(state.newest);
-        if version == 0 || version > state.newest {
+        let version = request.query("version").unwrap_or(self.newest);
+        if version == 0 || version > self.newest {
             return status(StatusCode::NOT_FOUND);
         }
-        if version + 2 <= state.newest {
+        if version + 2 <= self.newest {
             return status(StatusCode::GONE);
         }
         if request.path.starts_with("/v1/manifest/") {
-            let mut digests: Vec<String> =
-                (0..PIECES).map(|index| digest(version, index)).collect();
-            state.lists += 1;
-            let is_spoilt = state.lists_spoilt < state.spoils;
-            let spoilt = state.spoil_list.filter(|(spoilt, _)| is_spoilt && *spoilt == version);
-            if let Some((_, index)) = spoilt {
-                state.lists_spoilt += 1;
-                let wrong = if digests[index as usize].starts_with('0') { "1" } else { "0" };
-                digests[index as usize].replace_range(0..1, wrong);
-            }
-            self.record.line(&format!(
-                "origin list version={version} spoilt_piece={:?}",
-                spoilt.map(|(_, index)| index)
-            ));
+            let digests: Vec<String> = (0..PIECES).map(|index| digest(version, index)).collect();
             let body = json!({
                 "model": MODEL, "version": version, "chunk_bytes": PIECE_BYTES, "layers": 16,
                 "digests": digests,
@@ -101,7 +66,6 @@
         let Some(index) = request.query("num").and_then(|index| u32::try_from(index).ok()) else {
             return status(StatusCode::NOT_FOUND);
         };
-        *state.sent.entry((version, index)).or_default() += 1;
         Response::new(full(content(version, index)))
     }
 }
--- a/review/tool-3/src/world.rs
+++ b/review/tool-3/src/world.rs
@@ -15,7 +15,7 @@
     platform::{ENGINES, manifest, order, report},
     record::Record,
     server::{Server, serve},
-    weights::{Origin, OriginState},
+    weights::Origin,
 };
 
 /// Time in which the operator repeats an order.
@@ -67,7 +67,6 @@
     pub(crate) deployment: Deployment,
     pub(crate) controls: Vec<SocketAddr>,
     pub(crate) entries: Vec<SocketAddr>,
-    pub(crate) origin: Origin,
     pub(crate) origin_address: SocketAddr,
     pub(crate) runners: Vec<Runner>,
     _origin: Server,
@@ -95,13 +94,9 @@
         let controls: Vec<_> =
             at(Role::Control).into_iter().map(|ip| network.control(ip)).collect();
         let entries = at(Role::Entry).into_iter().map(|ip| network.front(ip)).collect();
-        let origin = Origin {
-            state: Arc::new(Mutex::new(OriginState { newest: 1, ..OriginState::default() })),
-            link: Arc::default(),
-            record: record.clone(),
-        };
-        let (origin_address, served) = (network.runner(network.ip(200)), origin.clone());
-        let serving = serve(origin_address, move |request| served.clone().answer(request)).await;
+        let origin = Origin { newest: 1, link: Arc::default() };
+        let origin_address = network.runner(network.ip(200));
+        let serving = serve(origin_address, move |request| origin.clone().answer(request)).await;
         let mut runners = Vec::new();
         for index in deployment.of(Role::Agent) {
             let process = &deployment.processes[index];
@@ -123,17 +118,10 @@
         if !order(record, &controls, "/v1/Config.Replace", &document, ORDER_LIMIT).await {
             return None;
         }
+        deployment.end_bootstrap().ok()?;
         sleep(LEAD.saturating_sub(record.now())).await;
         let server = serving.ok()?;
-        Some(Self {
-            deployment,
-            controls,
-            entries,
-            origin,
-            origin_address,
-            runners,
-            _origin: server,
-        })
+        Some(Self { deployment, controls, entries, origin_address, runners, _origin: server })
     }
 
     /// Records what the processes say of themselves at the end.
