--- a/review/tool-3/src/engine.rs
+++ b/review/tool-3/src/engine.rs
@@ -24,6 +24,8 @@
 const LAYERS: u32 = 16;
 /// Time to load all layers.
 const LOAD_TIME: Duration = Duration::from_millis(300);
+/// The `cold_start_s` of the service.
+const COLD_TIME: Duration = Duration::from_secs(3);
 /// Requests that run at the same time.
 const SLOTS: usize = 16;
 /// Events of an answer, and the time between them.
@@ -42,6 +44,8 @@
     loading: Option<(Instant, Vec<Option<u64>>)>,
     pieces: BTreeMap<u32, Bytes>,
     active: usize,
+    /// Until when it is cold, once it has started during traffic.
+    cold_until: Option<Instant>,
     /// Whether it leaves.
     pub(crate) leaving: bool,
     /// Requests that were run.
@@ -62,6 +66,7 @@
             loading: None,
             pieces: (0..PIECES).map(|index| (index, content(1, index))).collect(),
             active: 0,
+            cold_until: None,
             leaving: false,
             ran: 0,
             arrivals: Vec::new(),
@@ -78,6 +83,7 @@
         self.layers = vec![None; LAYERS as usize];
         self.loading = None;
         self.active = 0;
+        self.cold_until = Some(Instant::now() + COLD_TIME);
     }
 
     pub(crate) const fn born(&self) -> u64 {
@@ -159,11 +165,13 @@
     /// Returns the next status report for the control instances.
     pub(crate) fn status(&mut self, service: &str, address: SocketAddr, zone: &str) -> Value {
         self.finish_loading();
+        let cold = self.cold_until.map(|until| until.saturating_duration_since(Instant::now()));
+        let cold_ms = u64::try_from(cold.unwrap_or_default().as_millis()).unwrap_or_default();
         self.seq += 1;
         let (models, layers) = self.models();
         json!({
             "service": service, "addr": address, "zone": zone, "version": "v1", "slots": SLOTS,
-            "state": if self.leaving { "draining" } else { "ready" }, "cold_left_ms": 0, "phase": "both", "models": models,
+            "state": if self.leaving { "draining" } else { "ready" }, "cold_left_ms": cold_ms, "phase": "both", "models": models,
             "layers": layers, "seq": self.seq, "born": self.born,
         })
     }
--- a/review/tool-3/src/many_changes.rs
+++ b/review/tool-3/src/many_changes.rs
@@ -8,7 +8,7 @@
 
 use http::StatusCode;
 use serde_json::Value;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
     Outcome, Setting,
@@ -20,10 +20,14 @@
 
 /// Routes that are added, as many as two times `big_config` adds.
 const ROUTES: u32 = 700;
-/// Changes of the storm, at most.
+/// Changes of all storms, at most.
 const CHANGES: u64 = 600;
-/// Time between two changes, the users' `gap_s`.
+/// Time between two changes of a storm, the users' `gap_s`.
 const GAP: Duration = Duration::from_millis(60);
+/// Changes of one storm: `for_s` of 1.5 s.
+const STORM: u64 = 25;
+/// Time between two storms.
+const PAUSE: Duration = Duration::from_secs(1);
 /// The memory of a core machine, the users' `memory_mb`.
 const MEMORY: u64 = 256 * 1_024 * 1_024;
 /// Interval at which the platform looks at the memory of the processes.
@@ -113,7 +117,8 @@
             break;
         }
         seen.lock().expect("no panic").acked = version;
-        tokio::time::sleep_until(next).await;
+        let pause = if version % STORM == 0 { PAUSE } else { Duration::ZERO };
+        sleep_until(next + pause).await;
     }
     let end = Instant::now() + READ_TIME;
     while Instant::now() < end {
--- a/review/tool-3/src/platform.rs
+++ b/review/tool-3/src/platform.rs
@@ -205,17 +205,15 @@
     (id, request.expect("a valid request"))
 }
 
-/// Sends one request each `period` to one of the entries, until the process ends.
+/// Sends one request each `period` to one of the entries at random, until the process ends.
 pub(crate) async fn traffic(
     record: Record,
     entries: Vec<SocketAddr>,
     period: Duration,
     all_served: Served,
 ) {
-    let mut number = 0;
     loop {
-        let entry = entries[number % entries.len()];
-        number += 1;
+        let entry = entries[rand::random_range(0..entries.len())];
         let (record, all_served) = (record.clone(), all_served.clone());
         tokio::spawn(async move {
             let (id, request) = stream_request();
