Keep which subjects changed in place of the changes

A change of the catalog had all routes that changed, and all services or all organisations if one of them did, also on its way to followers.

A follower that is a little behind receives the latest state of each subject once; one from before the index receives the view. Patches of the catalog have single services and organisations.

--- a/crates/egret_control/src/lib.rs
+++ b/crates/egret_control/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - `state`: the state and its snapshot.
 //! - `commands`: commands that change the state.
+//! - `change_index`: which subjects of the view changed at which revision.
 //! - `queries`: reads of the state.
 //! - `claims`: requests that may run at most once.
 //! - `recorded_status`: departures that must outlive the instance that acknowledged them.
@@ -24,6 +25,7 @@
 //! - `program`: the program `egret-control`.
 
 mod bootstrap;
+mod change_index;
 mod claims;
 mod commands;
 mod driver;
--- a/crates/egret_control/src/program.rs
+++ b/crates/egret_control/src/program.rs
@@ -165,10 +165,14 @@
     settings: &ControlSettings,
     folder: &DataFolder,
     journal: Journal,
-    persisted: Persisted,
+    mut persisted: Persisted,
 ) -> Result<Core, ProgramError> {
     let start = Instant::now();
     let state = State::restore(&persisted.snapshot.data)?;
+    if State::is_earlier_snapshot(&persisted.snapshot.data) {
+        // It may be many times as large, and would be kept until the next one.
+        persisted.snapshot.data = state.snapshot().into();
+    }
     let timing = Timing::from_election_timeout(Duration::from_millis(settings.election_ms));
     let node = Node::new(folder.identity(), persisted, timing, rand::random(), Duration::ZERO);
     Ok(Core::new(CoreParts {
--- a/crates/egret_control/src/state.rs
+++ b/crates/egret_control/src/state.rs
@@ -4,19 +4,18 @@
 
 use egret_fleet::StatusUpdate;
 use egret_record::{
-    BackendName, Change, Delta, EntryName, Fence, OperationId, RecordName, Revision, SessionId,
-    StoredRecord, View, ViewWithoutParts,
+    BackendName, Change, Delta, EarlierChanges, EntryName, Fence, OperationId, RecordName,
+    Revision, SessionId, StoredRecord, Subject, View, ViewWithoutParts,
 };
-use egret_rpc::{Compressed, DecodeError, Reply, decode, encode};
+use egret_rpc::{Compressed, DecodeError, Reply, decode, encode_after};
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    change_index::ChangeIndex,
     claims::Claims,
     recorded_status::{Departures, RecordedStatus},
 };
 
-/// Changes kept for session holders that are behind.
-const CHANGES_KEPT: usize = 4_096;
 /// Outcomes of amendments kept to answer retries.
 const OUTCOMES_KEPT: usize = 10_000;
 /// Revisions kept of each record.
@@ -58,6 +57,8 @@
 const WITH_DEPARTURES: u8 = 0xfe;
 /// Marks snapshots that include all recorded status updates.
 const WITH_STATUS: u8 = 0xfd;
+/// Marks snapshots that include which subjects changed, in place of the changes themselves.
+const WITH_CHANGE_INDEX: u8 = 0xfc;
 
 /// A snapshot as programs wrote it that could not block parts of prompts.
 #[derive(Deserialize)]
@@ -69,7 +70,7 @@
     winners: BTreeMap<RecordName, OperationId>,
     history: BTreeMap<RecordName, VecDeque<StoredRecord>>,
     catalog_source: Compressed,
-    changes: VecDeque<(Revision, Change)>,
+    changes: EarlierChanges,
     next_session: u64,
     next_fence: u64,
     plan_due: bool,
@@ -78,6 +79,7 @@
 impl From<StateWithoutParts> for State {
     fn from(state: StateWithoutParts) -> Self {
         Self {
+            changed: ChangeIndex::default(),
             view: state.view.into(),
             sessions: state.sessions,
             claims: state.claims,
@@ -120,7 +122,8 @@
     pub(crate) history: BTreeMap<RecordName, VecDeque<StoredRecord>>,
     /// The catalog as the operator sent it.
     pub(crate) catalog_source: Compressed,
-    changes: VecDeque<(Revision, Change)>,
+    /// Keeps the encoding of earlier programs.
+    changes: EarlierChanges,
     next_session: u64,
     next_fence: u64,
     /// Whether backend servers joined or left since the last plan.
@@ -128,6 +131,9 @@
     /// The recorded status of backend servers, which snapshots hold beside the rest.
     #[serde(skip)]
     pub(crate) recorded: RecordedStatus,
+    /// What changed lately, for session holders that are behind; beside the rest as well.
+    #[serde(skip)]
+    changed: ChangeIndex,
 }
 
 impl State {
@@ -157,9 +163,12 @@
     /// Encodes the complete state.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
-        let mut bytes = encode(&(self, &self.recorded));
-        bytes.insert(0, WITH_STATUS);
-        bytes
+        encode_after(vec![WITH_CHANGE_INDEX], &(self, &self.recorded, &self.changed))
+    }
+
+    /// Returns whether an earlier program wrote this snapshot, which then has all changes that it kept.
+    pub(crate) fn is_earlier_snapshot(bytes: &[u8]) -> bool {
+        bytes.first().is_some_and(|mark| *mark != WITH_CHANGE_INDEX)
     }
 
     /// Decodes a complete state; empty input gives the initial state.
@@ -168,35 +177,38 @@
     ///
     /// Returns a [`DecodeError`] when the bytes are damaged or were written by a newer program.
     pub fn restore(bytes: &[u8]) -> Result<Self, DecodeError> {
-        match bytes.split_first() {
-            None => Ok(Self::default()),
+        let state = match bytes.split_first() {
+            None => Self::default(),
+            Some((&WITH_CHANGE_INDEX, bytes)) => {
+                let (state, recorded, changed) =
+                    decode::<(Self, RecordedStatus, ChangeIndex)>(bytes)?;
+                return Ok(Self { recorded, changed, ..state });
+            }
             Some((&WITH_STATUS, bytes)) => {
                 let (state, recorded) = decode::<(Self, RecordedStatus)>(bytes)?;
-                Ok(Self { recorded, ..state })
+                Self { recorded, ..state }
             }
             Some((&WITH_DEPARTURES, bytes)) => {
                 let (state, departures) = decode::<(Self, Departures)>(bytes)?;
-                Ok(Self { recorded: departures.into(), ..state })
+                Self { recorded: departures.into(), ..state }
             }
-            Some((&WITH_PARTS, state)) => decode(state),
-            Some(_) => decode::<StateWithoutParts>(bytes).map(Self::from),
-        }
+            Some((&WITH_PARTS, state)) => decode(state)?,
+            Some(_) => decode::<StateWithoutParts>(bytes).map(Self::from)?,
+        };
+        let changed = ChangeIndex::starting_at(state.view.revision);
+        Ok(Self { changed, ..state })
     }
 
-    /// Returns the changes after revision `from`, or the complete view.
+    /// Returns the latest state of what changed after revision `from`, or the complete view.
     ///
-    /// The view is sent if `from` is zero, ahead of this state, or older than the changes kept.
+    /// The view is sent if `from` is zero, ahead of this state, or so old that not all that changed
+    /// since is known.
     #[must_use]
     pub fn delta(&self, from: Revision) -> Delta {
-        let oldest = self.changes.front().map(|(revision, _)| *revision);
-        let complete = from == Revision(0)
-            || from > self.view.revision
-            || (from < self.view.revision && oldest.is_none_or(|oldest| oldest > from.next()));
-        if complete {
+        if from == Revision(0) || from > self.view.revision || !self.changed.covers(from) {
             return Delta::Snapshot(Box::new(self.view.clone()));
         }
-        let start = self.changes.partition_point(|(revision, _)| *revision <= from);
-        let changes = self.changes.range(start..).map(|(_, change)| change.clone()).collect();
+        let changes = self.view.changes_of(self.changed.after(from));
         Delta::Changes { from, to: self.view.revision, changes }
     }
 
@@ -206,19 +218,21 @@
     /// hundreds of them does not send every session holder as many deltas.
     #[must_use]
     pub fn is_urgent_after(&self, from: Revision) -> bool {
-        let start = self.changes.partition_point(|(revision, _)| *revision <= from);
-        let progress =
-            |change: &Change| matches!(change, Change::Backend(backend) if !backend.leaving);
-        from == Revision(0) || !self.changes.range(start..).all(|(_, change)| progress(change))
+        let is_progress = |subject: &Subject| match subject {
+            Subject::Backend(name) => {
+                self.view.backends.get(name).is_some_and(|backend| !backend.leaving)
+            }
+            _ => false,
+        };
+        from == Revision(0)
+            || !self.changed.covers(from)
+            || !self.changed.after(from).all(is_progress)
     }
 
     /// Applies a change to the view, under a new revision.
     pub(crate) fn change(&mut self, change: Change) -> Revision {
         let revision = self.view.revision.next();
-        if self.changes.len() == CHANGES_KEPT {
-            self.changes.pop_front();
-        }
-        self.changes.push_back((revision, change.clone()));
+        self.changed.record(change.subjects(), revision);
         self.view.apply_change(change);
         self.view.revision = revision;
         revision
--- a/crates/egret_record/src/catalog.rs
+++ b/crates/egret_record/src/catalog.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{CatalogVersion, EngineSpec, FastMap, FastSet};
+use crate::{CatalogVersion, EngineSpec, FastMap, FastSet, Subject};
 
 /// Whether a request whose outcome is not known may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -235,38 +235,52 @@
     /// Returns the patch that turns `self` into `next`.
     #[must_use]
     pub fn patch_to(&self, next: &Self) -> CatalogPatch {
-        let changed = |name: &String, route: &Arc<Route>| self.routes.get(name) != Some(route);
-        let routes = next.routes.iter().filter(|(name, route)| changed(name, route));
-        let removed = self.routes.keys().filter(|name| !next.routes.contains_key(*name));
         CatalogPatch {
-            version: next.version,
-            routes: routes.map(|(_, route)| route.clone()).collect(),
-            removed: removed.cloned().collect(),
-            services: (self.services != next.services).then(|| next.services.clone()),
-            organisations: (self.organisations != next.organisations)
-                .then(|| next.organisations.clone()),
-            limits: next.limits,
+            routes: changed(&self.routes, &next.routes),
+            removed_routes: removed(&self.routes, &next.routes),
+            services: changed(&self.services, &next.services),
+            removed_services: removed(&self.services, &next.services),
+            organisations: changed(&self.organisations, &next.organisations),
+            removed_organisations: removed(&self.organisations, &next.organisations),
+            ..CatalogPatch::empty(next)
         }
     }
 
     /// Applies a patch from this version to a later one.
     pub fn apply(&mut self, patch: CatalogPatch) {
         self.version = patch.version;
-        for name in &patch.removed {
-            self.routes.remove(name);
-        }
-        for route in patch.routes {
-            self.routes.insert(route.name.clone(), route);
-        }
-        if let Some(services) = patch.services {
-            self.services = services;
-        }
-        if let Some(organisations) = patch.organisations {
-            self.organisations = organisations;
-        }
+        replace(&mut self.routes, patch.routes, &patch.removed_routes, |route| &route.name);
+        replace(&mut self.services, patch.services, &patch.removed_services, |service| {
+            &service.name
+        });
+        replace(
+            &mut self.organisations,
+            patch.organisations,
+            &patch.removed_organisations,
+            |organisation| &organisation.name,
+        );
         self.limits = patch.limits;
     }
 
+    /// Adds the state of a subject in this catalog to a patch.
+    pub(crate) fn add_to_patch(&self, patch: &mut CatalogPatch, subject: &Subject) {
+        match subject {
+            Subject::Route(name) => {
+                add(&self.routes, name, &mut patch.routes, &mut patch.removed_routes);
+            }
+            Subject::Service(name) => {
+                add(&self.services, name, &mut patch.services, &mut patch.removed_services);
+            }
+            Subject::Organisation(name) => add(
+                &self.organisations,
+                name,
+                &mut patch.organisations,
+                &mut patch.removed_organisations,
+            ),
+            _ => {}
+        }
+    }
+
     /// Returns the origin of weights, if one is declared.
     #[must_use]
     pub fn origin(&self) -> Option<&OriginSpec> {
@@ -300,17 +314,74 @@
     /// Routes that are new or changed.
     pub routes: Vec<Arc<Route>>,
     /// Names of removed routes.
-    pub removed: Vec<String>,
-    /// All services, if any of them changed.
-    #[serde(deserialize_with = "crate::persistent::optional_map")]
-    pub services: Option<OrdMap<String, Arc<ServiceSpec>>>,
-    /// All organisations, if any of them changed.
-    #[serde(deserialize_with = "crate::persistent::optional_map")]
-    pub organisations: Option<OrdMap<String, Arc<OrganisationSpec>>>,
+    pub removed_routes: Vec<String>,
+    /// Services that are new or changed.
+    pub services: Vec<Arc<ServiceSpec>>,
+    /// Names of removed services.
+    pub removed_services: Vec<String>,
+    /// Organisations that are new or changed.
+    pub organisations: Vec<Arc<OrganisationSpec>>,
+    /// Names of removed organisations.
+    pub removed_organisations: Vec<String>,
     /// The limits on requests of callers.
     pub limits: CallerLimits,
 }
 
+impl CatalogPatch {
+    /// Returns the patch that sets only the version and the limits of `catalog`.
+    pub(crate) const fn empty(catalog: &Catalog) -> Self {
+        Self {
+            version: catalog.version,
+            routes: Vec::new(),
+            removed_routes: Vec::new(),
+            services: Vec::new(),
+            removed_services: Vec::new(),
+            organisations: Vec::new(),
+            removed_organisations: Vec::new(),
+            limits: catalog.limits,
+        }
+    }
+}
+
+/// The declarations of one kind, by name.
+type ByName<T> = OrdMap<String, Arc<T>>;
+
+/// Returns the declarations of `next` that `old` does not have.
+fn changed<T: PartialEq>(old: &ByName<T>, next: &ByName<T>) -> Vec<Arc<T>> {
+    next.iter()
+        .filter(|(name, item)| old.get(*name) != Some(item))
+        .map(|(_, item)| item.clone())
+        .collect()
+}
+
+/// Returns the names in `old` that `next` does not have.
+fn removed<T>(old: &ByName<T>, next: &ByName<T>) -> Vec<String> {
+    old.keys().filter(|name| !next.contains_key(*name)).cloned().collect()
+}
+
+/// Removes and inserts declarations.
+fn replace<T>(
+    items: &mut ByName<T>,
+    changed: Vec<Arc<T>>,
+    removed: &[String],
+    name: impl Fn(&T) -> &String,
+) {
+    for name in removed {
+        items.remove(name);
+    }
+    for item in changed {
+        items.insert(name(&item).clone(), item);
+    }
+}
+
+/// Adds a declaration to those that changed, or its name to those that were removed.
+fn add<T>(items: &ByName<T>, name: &String, changed: &mut Vec<Arc<T>>, removed: &mut Vec<String>) {
+    match items.get(name) {
+        Some(item) => changed.push(item.clone()),
+        None => removed.push(name.clone()),
+    }
+}
+
 /// Index of routes by host and of organisations by API key.
 #[derive(Debug, Default)]
 pub struct CatalogIndex {
--- a/crates/egret_record/src/lib.rs
+++ b/crates/egret_record/src/lib.rs
@@ -6,6 +6,7 @@
 //! that every entry and agent knows at a revision.
 //!
 //! - `catalog`: routes, services and organisations, declared in one document.
+//! - `earlier`: encodings of earlier programs.
 //! - `engine`: the model engines of a service and their figures.
 //! - `name`: identifiers, as a distinct type for each kind.
 //! - `digest`: content digests.
@@ -13,6 +14,7 @@
 //! - `rate`: request rates.
 //! - `record`: a record in its normalized form, independent of its schema.
 //! - `schema`: the two record schemas that operators write.
+//! - `subject`: the parts of a view that change on their own.
 //! - `view`: the shared view and the changes between its revisions.
 //!
 //! ```
@@ -30,6 +32,7 @@
 
 mod catalog;
 mod digest;
+mod earlier;
 mod engine;
 mod name;
 mod part;
@@ -37,6 +40,7 @@
 mod rate;
 mod record;
 mod schema;
+mod subject;
 mod view;
 
 pub use catalog::{
@@ -44,6 +48,7 @@
     Route, RouteKind, RouteTarget, ServiceSpec,
 };
 pub use digest::{ParseDigestError, VersionDigest};
+pub use earlier::{EarlierChanges, ViewWithoutParts};
 pub use engine::{EngineFigures, EngineSpec};
 pub use name::{
     BackendName, CatalogVersion, DataCentre, EntryName, Fence, IdempotencyKey, MemberId, NameError,
@@ -56,9 +61,10 @@
     has_prefix,
 };
 pub use schema::parse_record;
+pub use subject::Subject;
 pub use view::{
     Assignment, Backend, BackendRole, BlockedPart, Change, Delta, Entry, Phase, StoredRecord, View,
-    ViewError, ViewWithoutParts,
+    ViewError,
 };
 
 /// A hash map with a fast, non-cryptographic hasher.
--- a/crates/egret_record/src/persistent.rs
+++ b/crates/egret_record/src/persistent.rs
@@ -17,17 +17,6 @@
     Ok(BTreeMap::deserialize(deserializer)?.into_iter().collect())
 }
 
-/// Decodes an optional map as [`map`] does.
-pub(crate) fn optional_map<'de, D, K, V>(deserializer: D) -> Result<Option<OrdMap<K, V>>, D::Error>
-where
-    D: Deserializer<'de>,
-    K: Ord + Clone + Deserialize<'de>,
-    V: Clone + Deserialize<'de>,
-{
-    let entries = Option::<BTreeMap<K, V>>::deserialize(deserializer)?;
-    Ok(entries.map(|entries| entries.into_iter().collect()))
-}
-
 /// Decodes a set as [`map`] does.
 pub(crate) fn set<'de, D, T>(deserializer: D) -> Result<OrdSet<T>, D::Error>
 where
--- a/crates/egret_record/src/view.rs
+++ b/crates/egret_record/src/view.rs
@@ -219,31 +219,6 @@
     pub blocked: OrdMap<PartId, BlockedPart>,
 }
 
-/// A view as programs wrote it that could not block parts of prompts.
-#[derive(Debug, Clone, Deserialize)]
-pub struct ViewWithoutParts {
-    revision: Revision,
-    #[serde(deserialize_with = "crate::persistent::map")]
-    records: OrdMap<RecordName, StoredRecord>,
-    #[serde(deserialize_with = "crate::persistent::set")]
-    out: OrdSet<DataCentre>,
-    #[serde(deserialize_with = "crate::persistent::map")]
-    backends: OrdMap<BackendName, Backend>,
-    #[serde(deserialize_with = "crate::persistent::map")]
-    entries: OrdMap<EntryName, Entry>,
-    catalog: Option<Arc<Catalog>>,
-    #[serde(deserialize_with = "crate::persistent::map")]
-    weights: OrdMap<String, WeightVersion>,
-}
-
-impl From<ViewWithoutParts> for View {
-    fn from(view: ViewWithoutParts) -> Self {
-        let ViewWithoutParts { revision, records, out, backends, entries, catalog, weights } = view;
-        let blocked = OrdMap::new();
-        Self { revision, records, out, backends, entries, catalog, weights, blocked }
-    }
-}
-
 /// A delta that does not follow the view's revision.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("delta follows revision {delta}, the view has {view}; ask for a snapshot")]
--- a/crates/egret_rpc/src/lib.rs
+++ b/crates/egret_rpc/src/lib.rs
@@ -31,6 +31,6 @@
 pub use request::{
     CallerRequest, ClaimKey, ClaimOutcome, ClaimState, Command, Compressed, DecodeError, Holder,
     LeaveReason, MemberStatus, Operation, Query, Reply, Request, StatusReply, StoredAnswer,
-    UnixMillis, VersionAnnouncement, Watch, WatchReply, decode, encode,
+    UnixMillis, VersionAnnouncement, Watch, WatchReply, decode, encode, encode_after,
 };
 pub use session::{Lease, Session, SharedView};
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -43,7 +43,17 @@
 ///
 /// Panics if a value cannot be serialized, which never happens for the types of this crate.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    postcard::to_extend(value, vec![ENCODING]).expect("plain data always encodes")
+    encode_after(Vec::new(), value)
+}
+
+/// Appends to `prefix` what [`encode`] returns.
+///
+/// # Panics
+///
+/// As [`encode`].
+pub fn encode_after<T: Serialize>(mut prefix: Vec<u8>, value: &T) -> Vec<u8> {
+    prefix.push(ENCODING);
+    postcard::to_extend(value, prefix).expect("plain data always encodes")
 }
 
 /// Decodes a value that [`encode`] wrote.
