--- a/crates/egret_consensus/src/lib.rs
+++ b/crates/egret_consensus/src/lib.rs
@@ -24,9 +24,9 @@
 //! let persisted = Persisted::bootstrap(membership);
 //! let mut node = Node::new(own, persisted, Timing::default(), 1, Duration::ZERO);
 //! node.tick(Duration::from_secs(2));
-//! node.propose(Payload::Command(b"hello".to_vec()), Duration::from_secs(2))?;
+//! node.propose(Payload::Command(b"hello".as_slice().into()), Duration::from_secs(2))?;
 //! let ready = node.ready();
-//! assert_eq!(ready.committed.last().map(|entry| &entry.payload), Some(&Payload::Command(b"hello".to_vec())));
+//! assert_eq!(ready.committed.last().map(|entry| &entry.payload), Some(&Payload::Command(b"hello".as_slice().into())));
 //! # Ok::<(), egret_consensus::ProposeError>(())
 //! ```
 
--- a/crates/egret_consensus/src/log.rs
+++ b/crates/egret_consensus/src/log.rs
@@ -9,6 +9,8 @@
 pub struct Log {
     snapshot: Snapshot,
     entries: VecDeque<LogEntry>,
+    /// The size of the commands in `entries`.
+    bytes: usize,
 }
 
 impl Log {
@@ -16,10 +18,10 @@
     #[must_use]
     pub fn new(snapshot: Snapshot, entries: Vec<LogEntry>) -> Self {
         let first = snapshot.index;
-        Self {
-            entries: entries.into_iter().filter(|entry| entry.index > first).collect(),
-            snapshot,
-        }
+        let entries: VecDeque<_> =
+            entries.into_iter().filter(|entry| entry.index > first).collect();
+        let bytes = entries.iter().map(|entry| entry.payload.command_bytes()).sum();
+        Self { entries, snapshot, bytes }
     }
 
     /// Returns the snapshot.
@@ -90,6 +92,12 @@
         self.entries.len()
     }
 
+    /// Returns the size of the commands after the snapshot, in bytes.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns whether there is no entry after the snapshot.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -99,24 +107,28 @@
     /// Adds an entry at the end.
     pub(crate) fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last().next());
+        self.bytes += entry.payload.command_bytes();
         self.entries.push_back(entry);
     }
 
     /// Removes the entries from `index` on.
     pub(crate) fn truncate(&mut self, index: Index) {
         if let Some(offset) = self.offset(index) {
-            self.entries.truncate(offset);
+            let removed = self.entries.drain(offset.min(self.entries.len())..);
+            self.bytes -= removed.map(|entry| entry.payload.command_bytes()).sum::<usize>();
         }
     }
 
     /// Replaces the entries that a snapshot covers; drops all if the log does not match it.
     pub(crate) fn compact(&mut self, snapshot: Snapshot) {
         if self.term(snapshot.index) == Some(snapshot.term) {
-            while self.entries.front().is_some_and(|entry| entry.index <= snapshot.index) {
-                self.entries.pop_front();
+            while let Some(entry) = self.entries.pop_front_if(|entry| entry.index <= snapshot.index)
+            {
+                self.bytes -= entry.payload.command_bytes();
             }
         } else {
             self.entries.clear();
+            self.bytes = 0;
         }
         self.snapshot = snapshot;
     }
--- a/crates/egret_consensus/src/message.rs
+++ b/crates/egret_consensus/src/message.rs
@@ -86,3 +86,21 @@
         sent: Duration,
     },
 }
+
+impl Body {
+    /// Returns the size of the commands or the snapshot in the message, in bytes.
+    #[must_use]
+    pub fn data_bytes(&self) -> usize {
+        match self {
+            Self::Append(append) => {
+                append.entries.iter().map(|entry| entry.payload.command_bytes()).sum()
+            }
+            Self::Install { snapshot, .. } => snapshot.data.len(),
+            Self::PreVote { .. }
+            | Self::PreVoteReply { .. }
+            | Self::Vote { .. }
+            | Self::VoteReply { .. }
+            | Self::AppendReply { .. } => 0,
+        }
+    }
+}
--- a/crates/egret_consensus/src/node.rs
+++ b/crates/egret_consensus/src/node.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use egret_record::MemberId;
 use rand::{SeedableRng as _, rngs::SmallRng};
 use thiserror::Error;
@@ -334,7 +335,7 @@
     ///
     /// Returns the snapshot to persist, or `None` when `index` is not applied
     /// yet or is already covered by the latest snapshot.
-    pub fn compact(&mut self, index: Index, data: Vec<u8>) -> Option<Snapshot> {
+    pub fn compact(&mut self, index: Index, data: Bytes) -> Option<Snapshot> {
         if index > self.applied || index <= self.log.snapshot().index {
             return None;
         }
--- a/crates/egret_consensus/src/replication.rs
+++ b/crates/egret_consensus/src/replication.rs
@@ -7,7 +7,7 @@
 use crate::{
     message::{Append, Body},
     node::{Node, Role},
-    types::{Index, Payload, Snapshot, Term},
+    types::{Index, Snapshot, Term},
 };
 
 /// Limit of entries in one message.
@@ -61,9 +61,7 @@
             .take(APPEND_ENTRIES_MAX)
             .take_while(|entry| {
                 let fits = bytes < APPEND_BYTES_MAX;
-                if let Payload::Command(command) = &entry.payload {
-                    bytes += command.len();
-                }
+                bytes += entry.payload.command_bytes();
                 fits
             })
             .cloned()
--- a/crates/egret_consensus/src/types.rs
+++ b/crates/egret_consensus/src/types.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use bytes::Bytes;
 use egret_record::MemberId;
 use serde::{Deserialize, Serialize};
 
@@ -135,7 +136,18 @@
     /// A membership change, in effect as soon as it is in the log.
     Membership(Membership),
     /// A command for the replicated state, opaque to this crate.
-    Command(Vec<u8>),
+    Command(Bytes),
+}
+
+impl Payload {
+    /// Returns the size of a command, in bytes; other content is small.
+    #[must_use]
+    pub const fn command_bytes(&self) -> usize {
+        match self {
+            Self::Command(command) => command.len(),
+            Self::Empty | Self::Membership(_) => 0,
+        }
+    }
 }
 
 /// One entry of the log.
@@ -159,5 +171,5 @@
     /// The membership at that index.
     pub membership: Membership,
     /// The replicated state, opaque to this crate.
-    pub data: Vec<u8>,
+    pub data: Bytes,
 }
--- a/crates/egret_consensus/tests/catch_up.rs
+++ b/crates/egret_consensus/tests/catch_up.rs
@@ -44,7 +44,7 @@
         assert_eq!(node.last_leader_contact(millis(round * 20)), Some(millis(round * 20)));
         assert_eq!(node.last_caught_up(millis(round * 20)), None, "an entry is missing");
     }
-    let entry = LogEntry { index: next, term: Term(1), payload: Payload::Command(vec![1]) };
+    let entry = LogEntry { index: next, term: Term(1), payload: Payload::Command(vec![1].into()) };
     let message = append(&node, vec![entry], next, millis(1_010));
     node.receive(message, millis(1_010));
     assert_eq!(node.last_caught_up(millis(1_020)), Some(millis(1_010)));
--- a/crates/egret_consensus/tests/cluster.rs
+++ b/crates/egret_consensus/tests/cluster.rs
@@ -213,7 +213,7 @@
     fn propose(&mut self) {
         let Some(leader) = self.leader() else { return };
         self.proposed += 1;
-        let payload = Payload::Command(self.proposed.to_le_bytes().to_vec());
+        let payload = Payload::Command(self.proposed.to_le_bytes().to_vec().into());
         self.drive(leader, |node, now| {
             let _ = node.propose(payload, now);
         });
--- a/crates/egret_consensus/tests/lost_disks.rs
+++ b/crates/egret_consensus/tests/lost_disks.rs
@@ -71,7 +71,7 @@
         let entries = node.log().after(egret_consensus::Index(0));
         let committed = entries.take_while(|entry| entry.index <= node.commit());
         let command = |payload: &Payload| match payload {
-            Payload::Command(bytes) => Some(bytes.clone()),
+            Payload::Command(bytes) => Some(bytes.to_vec()),
             _ => None,
         };
         committed.filter_map(|entry| command(&entry.payload)).collect()
@@ -85,7 +85,7 @@
     for lost in 1..=4 {
         for removed in (1..=4).filter(|id| *id != lost) {
             let mut cluster = Cluster::new(4);
-            cluster.propose(Payload::Command(b"acknowledged".to_vec()));
+            cluster.propose(Payload::Command(b"acknowledged".to_vec().into()));
             cluster.run(Duration::from_millis(200));
             for id in [lost, removed] {
                 cluster.nodes.remove(&MemberId(id));
@@ -98,7 +98,7 @@
             assert_eq!(cluster.committed(leader), [b"acknowledged".to_vec()]);
             let next = cluster.nodes[&leader].membership().without(MemberId(lost));
             cluster.propose(Payload::Membership(next));
-            cluster.propose(Payload::Command(b"later".to_vec()));
+            cluster.propose(Payload::Command(b"later".to_vec().into()));
             cluster.run(Duration::from_millis(200));
             assert_eq!(cluster.committed(leader).len(), 2, "changes are committed again");
         }
--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -294,7 +294,7 @@
             Input::Message(envelope) => self.node.receive(envelope, now),
             Input::Wake => {}
             Input::Propose(command, reply) => {
-                self.propose(Payload::Command(encode(&command)), reply);
+                self.propose(Payload::Command(encode(&command).into()), reply);
             }
             Input::ChangeMembership(change, reply) => {
                 let membership = self.node.membership();
@@ -379,7 +379,7 @@
         let Some(quarantine) = &mut self.quarantine else { return };
         let actions = quarantine.decide(&self.state.view().blocked, term, now);
         for command in actions.commands {
-            let _ = self.node.propose(Payload::Command(encode(&command)), now);
+            let _ = self.node.propose(Payload::Command(encode(&command).into()), now);
         }
         if let Some(suspects) = actions.suspects {
             self.observe(&StatusUpdate::Suspects(suspects));
@@ -392,7 +392,7 @@
         const PLAN_PERIOD: Duration = Duration::from_millis(100);
         if self.state.is_plan_due() && now >= self.planned_at + PLAN_PERIOD {
             self.planned_at = now;
-            let _ = self.node.propose(Payload::Command(encode(&Command::Plan)), now);
+            let _ = self.node.propose(Payload::Command(encode(&Command::Plan).into()), now);
         }
     }
 
@@ -412,7 +412,7 @@
         self.recorded_at = now;
         let updates = std::mem::take(&mut self.unrecorded);
         let command = Command::RecordWeights { updates, recorded_at: unix_time() };
-        let _ = self.node.propose(Payload::Command(encode(&command)), now);
+        let _ = self.node.propose(Payload::Command(encode(&command).into()), now);
     }
 
     fn end_expired_sessions(&mut self, now: Duration) {
@@ -422,7 +422,7 @@
         for session in leases.expired(self.state.sessions(), now) {
             log::warn!("event=session_expired session={session}");
             let command = Command::Leave { session, reason: LeaveReason::LeaseExpired };
-            let _ = self.node.propose(Payload::Command(encode(&command)), now);
+            let _ = self.node.propose(Payload::Command(encode(&command).into()), now);
             // Renewing the lease avoids a second proposal while this one is not committed yet.
             leases.renew(session, Revision(0), now);
         }
@@ -534,11 +534,12 @@
         // then the former members are needed as well, which may be gone.
         let (changed, _) = self.node.log().membership();
         let has_new_members = old < changed && changed <= commit;
-        if commit.0 - old.0 < self.snapshot_entries && !has_new_members {
+        if commit.0 - old.0 < self.snapshot_entries && !has_new_members && !self.is_log_large() {
             return Ok(());
         }
+        let started = Instant::now();
         let data = self.state.snapshot();
-        if let Some(snapshot) = self.node.compact(commit, data) {
+        if let Some(snapshot) = self.node.compact(commit, data.into()) {
             let entries: Vec<_> = self.node.log().after(snapshot.index).cloned().collect();
             match self.journal.compact(&snapshot, self.node.hard_state(), &entries) {
                 // The log on the disk still has all that the snapshot covers.
@@ -551,11 +552,25 @@
                 }
                 saved => saved?,
             }
-            log::info!("event=snapshot index={} bytes={}", snapshot.index.0, snapshot.data.len());
+            log::info!(
+                "event=snapshot index={} bytes={} ms={}",
+                snapshot.index.0,
+                snapshot.data.len(),
+                started.elapsed().as_millis()
+            );
         }
         Ok(())
     }
 
+    /// Returns whether the log is to be compacted for its size, whatever its number of entries.
+    fn is_log_large(&self) -> bool {
+        /// Size of the commands in the log that calls for a snapshot, in bytes.
+        const LOG_BYTES_MAX: usize = 8 * 1024 * 1024;
+        let log = self.node.log();
+        // Writing snapshots should cost no more than writing the log.
+        log.bytes() >= LOG_BYTES_MAX.max(log.snapshot().data.len())
+    }
+
     fn next_tick(&self) -> Instant {
         /// Longest time between two runs of the leader's tasks.
         const LEADER_TASK_PERIOD: Duration = Duration::from_millis(100);
--- a/crates/egret_rpc/src/convert.rs
+++ b/crates/egret_rpc/src/convert.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use egret_consensus::{
     Append, Body, ClusterId, Envelope, Index, LogEntry, Member, Membership, Payload, Snapshot, Term,
 };
@@ -94,7 +95,7 @@
                     index: Index(install.get_index()),
                     term: Term(install.get_term()),
                     membership: read_membership(install.get_membership()?)?,
-                    data: install.get_data()?.to_vec(),
+                    data: Bytes::copy_from_slice(install.get_data()?),
                 },
                 sent: Duration::from_micros(install.get_sent_micros()),
             }
@@ -191,7 +192,7 @@
     let payload = match entry.which()? {
         Which::Empty(()) => Payload::Empty,
         Which::Membership(membership) => Payload::Membership(read_membership(membership?)?),
-        Which::Command(command) => Payload::Command(command?.to_vec()),
+        Which::Command(command) => Payload::Command(Bytes::copy_from_slice(command?)),
     };
     Ok(LogEntry { term: Term(entry.get_term()), index: Index(entry.get_index()), payload })
 }
--- a/crates/egret_store/src/frame.rs
+++ b/crates/egret_store/src/frame.rs
@@ -1,5 +1,7 @@
 //! Checksummed frames: magic, length, checksum, content.
 
+use serde::Serialize;
+
 /// Marks the start of a frame.
 const MAGIC: [u8; 4] = *b"EGF1";
 /// Length of the checksum.
@@ -18,14 +20,19 @@
     Invalid,
 }
 
-/// Wraps content into a frame.
-pub(crate) fn encode(content: &[u8]) -> Vec<u8> {
+/// Encodes a value as the content of a frame; `bytes_min` is the size that it has at least.
+pub(crate) fn encode<T: Serialize>(value: &T, bytes_min: usize) -> Vec<u8> {
+    // Some room for lengths and indices beside the bytes that the value is known to have.
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + bytes_min + bytes_min / 64 + 256);
+    bytes.resize(HEADER_BYTES, 0);
+    let mut bytes = postcard::to_extend(value, bytes).expect("plain data always encodes");
+    let (header, content) = bytes.split_at_mut(HEADER_BYTES);
     let length = u32::try_from(content.len()).unwrap_or(u32::MAX);
-    let mut bytes = Vec::with_capacity(HEADER_BYTES + content.len());
-    bytes.extend(MAGIC);
-    bytes.extend(length.to_le_bytes());
-    bytes.extend(checksum(content));
-    bytes.extend(content);
+    let (magic, rest) = header.split_at_mut(MAGIC.len());
+    let (length_field, sum) = rest.split_at_mut(4);
+    magic.copy_from_slice(&MAGIC);
+    length_field.copy_from_slice(&length.to_le_bytes());
+    sum.copy_from_slice(&checksum(content));
     bytes
 }
 
--- a/crates/egret_store/src/journal.rs
+++ b/crates/egret_store/src/journal.rs
@@ -89,7 +89,7 @@
         entries: &[LogEntry],
     ) -> Result<(), StoreError> {
         let path = self.folder.join(LOG_FILE);
-        let bytes = frame::encode(&encode(&BatchView { hard_state, entries }));
+        let bytes = encode_batch(hard_state, entries);
         if self.is_torn {
             self.log.set_len(self.log_bytes).map_err(StoreError::io(&path))?;
         }
@@ -139,8 +139,9 @@
     }
 }
 
-fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    postcard::to_stdvec(value).expect("plain data always encodes")
+fn encode_batch(hard_state: Option<HardState>, entries: &[LogEntry]) -> Vec<u8> {
+    let bytes_min = entries.iter().map(|entry| entry.payload.command_bytes()).sum();
+    frame::encode(&BatchView { hard_state, entries }, bytes_min)
 }
 
 fn log_length(folder: &Path) -> Result<u64, StoreError> {
@@ -149,12 +150,11 @@
 }
 
 fn write_snapshot(folder: &Path, snapshot: &Snapshot) -> Result<(), StoreError> {
-    replace_file(folder, SNAPSHOT_FILE, &frame::encode(&encode(snapshot)))
+    replace_file(folder, SNAPSHOT_FILE, &frame::encode(snapshot, snapshot.data.len()))
 }
 
 fn write_log(folder: &Path, hard_state: HardState, entries: &[LogEntry]) -> Result<(), StoreError> {
-    let batch = BatchView { hard_state: Some(hard_state), entries };
-    replace_file(folder, LOG_FILE, &frame::encode(&encode(&batch)))
+    replace_file(folder, LOG_FILE, &encode_batch(Some(hard_state), entries))
 }
 
 fn read_snapshot(folder: &Path) -> Result<Option<Snapshot>, StoreError> {
--- a/crates/egret_store/tests/damage.rs
+++ b/crates/egret_store/tests/damage.rs
@@ -36,7 +36,7 @@
 }
 
 fn entry(index: u64, term: u64) -> LogEntry {
-    let payload = Payload::Command(vec![7; 40]);
+    let payload = Payload::Command(vec![7; 40].into());
     LogEntry { term: Term(term), index: Index(index), payload }
 }
 
