Limit the bytes in flight to a member

Change: 2 MiB in flight, or a single larger message; others are dropped, as a network would, and the follower's next rejection brings them again. The timeout of a reply grows with the message.

--- a/crates/egret_control/src/peers.rs
+++ b/crates/egret_control/src/peers.rs
@@ -1,6 +1,12 @@
 //! Raft messages to the other control members.
 
-use std::{cell::RefCell, io::ErrorKind, net::IpAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io::ErrorKind,
+    net::IpAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use egret_consensus::Envelope;
 use egret_record::{FastMap, MemberId};
@@ -11,12 +17,17 @@
 const QUEUED_MAX: usize = 256;
 /// Limit of messages to one member in flight.
 const IN_FLIGHT_MAX: usize = 128;
+/// Limit of commands and snapshots to one member in flight, in bytes, and so of the memory that a
+/// member which stands still takes; some messages of log entries.
+const IN_FLIGHT_BYTES_MAX: usize = 2 * 1024 * 1024;
 /// Timeout of a connection attempt to a member: several round trips between regions. An attempt
 /// to a member without power blocks messages for the whole timeout, although the member may be
 /// back already.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Timeout of a reply, after which the connection is closed.
+/// Timeout of the reply to a small message, after which the connection is closed.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Rate at which a large message arrives at least: half of a link between regions.
+const BYTES_PER_SECOND_MIN: u32 = 1_000_000;
 
 /// Message queues to the other control members.
 #[derive(Debug)]
@@ -55,46 +66,82 @@
 }
 
 async fn send_all(local_ip: IpAddr, address: String, mut queue: mpsc::Receiver<Envelope>) {
-    let mut connection: Option<Rc<Connection<control::Client>>> = None;
-    let in_flight = Rc::new(RefCell::new(0_usize));
-    let broken = Rc::new(RefCell::new(false));
+    let mut link: Option<Rc<Link>> = None;
     while let Some(message) = queue.recv().await {
-        if broken.replace(false) || connection.as_ref().is_some_and(|open| open.is_closed()) {
-            connection = None;
-            in_flight.replace(0);
+        link = link.filter(|link| link.is_usable());
+        if link.is_none() {
+            link = open(local_ip, &address).await.map(Rc::new);
         }
-        if connection.is_none() {
-            connection = open(local_ip, &address).await;
-        }
-        let Some(open) = &connection else {
+        let Some(link) = &link else {
             // Messages queued meanwhile are stale; heartbeats will trigger newer ones.
             while queue.try_recv().is_ok() {}
             continue;
         };
-        if *in_flight.borrow() >= IN_FLIGHT_MAX {
+        let bytes = message.body.data_bytes();
+        if !link.has_room(bytes) {
             continue;
         }
-        let mut call = open.client().consensus_request();
+        let mut call = link.connection.client().consensus_request();
         write_envelope(&message, call.get().init_envelope());
         let reply = call.send().promise;
-        *in_flight.borrow_mut() += 1;
-        let (in_flight, broken, open) = (in_flight.clone(), broken.clone(), open.clone());
+        link.add(bytes);
+        let link = link.clone();
         tokio::task::spawn_local(async move {
-            if !matches!(timeout(REPLY_TIMEOUT, reply).await, Ok(Ok(_))) {
-                broken.replace(true);
+            if !matches!(timeout(reply_timeout(bytes), reply).await, Ok(Ok(_))) {
+                link.is_broken.set(true);
             }
-            let left = in_flight.borrow().saturating_sub(1);
-            in_flight.replace(left);
-            drop(open);
+            link.remove(bytes);
         });
     }
 }
 
-async fn open(local_ip: IpAddr, address: &str) -> Option<Rc<Connection<control::Client>>> {
+/// A connection to a member, with what was sent and is not replied to yet.
+struct Link {
+    connection: Connection<control::Client>,
+    messages: Cell<usize>,
+    bytes: Cell<usize>,
+    is_broken: Cell<bool>,
+}
+
+impl Link {
+    fn is_usable(&self) -> bool {
+        !self.is_broken.get() && !self.connection.is_closed()
+    }
+
+    /// Returns whether a message of this size may be sent; a large one only alone.
+    fn has_room(&self, bytes: usize) -> bool {
+        let in_flight = self.bytes.get();
+        let fits = in_flight == 0 || in_flight + bytes <= IN_FLIGHT_BYTES_MAX;
+        self.messages.get() < IN_FLIGHT_MAX && (bytes == 0 || fits)
+    }
+
+    fn add(&self, bytes: usize) {
+        self.messages.update(|messages| messages + 1);
+        self.bytes.update(|in_flight| in_flight + bytes);
+    }
+
+    fn remove(&self, bytes: usize) {
+        self.messages.update(|messages| messages - 1);
+        self.bytes.update(|in_flight| in_flight - bytes);
+    }
+}
+
+/// Returns the timeout of the reply to a message of this size.
+fn reply_timeout(bytes: usize) -> Duration {
+    let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+    REPLY_TIMEOUT + Duration::from_secs(1) * bytes / BYTES_PER_SECOND_MIN
+}
+
+async fn open(local_ip: IpAddr, address: &str) -> Option<Link> {
     let address = address.parse().ok()?;
     let opened = timeout(CONNECT_TIMEOUT, Connection::open(local_ip, address)).await;
     match opened.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
-        Ok(connection) => Some(Rc::new(connection)),
+        Ok(connection) => Some(Link {
+            connection,
+            messages: Cell::new(0),
+            bytes: Cell::new(0),
+            is_broken: Cell::new(false),
+        }),
         Err(error) => {
             log::debug!("event=member_unreachable address={address} error=\"{error}\"");
             None
