--- a/crates/egret_consensus/tests/cluster.rs
+++ b/crates/egret_consensus/tests/cluster.rs
@@ -278,7 +278,7 @@
         let Some(instance) = self.instances.get_mut(&id) else { return };
         let Some(node) = instance.node.as_mut() else { return };
         let index = node.commit();
-        if let Some(snapshot) = node.compact(index, Vec::new()) {
+        if let Some(snapshot) = node.compact(index, Vec::new().into()) {
             instance.disk.entries.retain(|entry| entry.index > snapshot.index);
             instance.disk.snapshot = snapshot;
         }
