Bound the stored answers of claims in bytes

Change: all answers together take 16 MiB; the oldest claims expire first, as they do by number, and resends of those are refused and never run again.

Test: kept_answers_are_bounded_in_bytes.

--- a/crates/egret_control/src/claims.rs
+++ b/crates/egret_control/src/claims.rs
@@ -13,6 +13,8 @@
 const RETENTION_MILLIS: u64 = 24 * 60 * 60 * 1_000;
 /// Limit of claims that are kept with their outcome.
 const CLAIMS_KEPT: usize = 100_000;
+/// Size of the bodies of all answers that are kept, in bytes; the oldest claims expire first.
+const ANSWER_BYTES_KEPT: usize = 16 * 1024 * 1024;
 /// Limit of expired keys that are kept without their outcome, to reject later claims of them.
 const EXPIRED_KEPT: usize = 1_000_000;
 
@@ -30,14 +32,44 @@
     progress: Progress,
 }
 
+impl Claim {
+    fn answer_bytes(&self) -> usize {
+        match &self.progress {
+            Progress::Answered(answer) => answer.body.len(),
+            Progress::Running { .. } | Progress::Unknown => 0,
+        }
+    }
+}
+
 /// All claims; the oldest expire first.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(from = "StoredClaims")]
 pub struct Claims {
     claims: BTreeMap<ClaimKey, Claim>,
     order: VecDeque<(UnixMillis, ClaimKey)>,
     /// Digests of keys whose outcome is no longer kept.
     expired: BTreeMap<u64, ()>,
     expired_order: VecDeque<u64>,
+    /// The size of the bodies of all answers in `claims`.
+    #[serde(skip)]
+    answer_bytes: usize,
+}
+
+/// [`Claims`] as snapshots hold them.
+#[derive(Deserialize)]
+struct StoredClaims {
+    claims: BTreeMap<ClaimKey, Claim>,
+    order: VecDeque<(UnixMillis, ClaimKey)>,
+    expired: BTreeMap<u64, ()>,
+    expired_order: VecDeque<u64>,
+}
+
+impl From<StoredClaims> for Claims {
+    fn from(stored: StoredClaims) -> Self {
+        let StoredClaims { claims, order, expired, expired_order } = stored;
+        let answer_bytes = claims.values().map(Claim::answer_bytes).sum();
+        Self { claims, order, expired, expired_order, answer_bytes }
+    }
 }
 
 impl Claims {
@@ -97,7 +129,9 @@
             ClaimOutcome::Answered(answer)
                 if is_current || matches!(claim.progress, Progress::Unknown) =>
             {
+                self.answer_bytes += answer.body.len();
                 claim.progress = Progress::Answered(answer);
+                while self.answer_bytes > ANSWER_BYTES_KEPT && self.expire_oldest() {}
             }
             ClaimOutcome::Unknown if is_current => claim.progress = Progress::Unknown,
             ClaimOutcome::NotRun if is_current => {
@@ -126,11 +160,18 @@
             if !old && self.claims.len() < CLAIMS_KEPT {
                 return;
             }
-            if let Some((_, key)) = self.order.pop_front() {
-                self.claims.remove(&key);
-                self.mark_expired(&key);
-            }
+            self.expire_oldest();
+        }
+    }
+
+    /// Expires the oldest claim. Returns whether there was one.
+    fn expire_oldest(&mut self) -> bool {
+        let Some((_, key)) = self.order.pop_front() else { return false };
+        if let Some(claim) = self.claims.remove(&key) {
+            self.answer_bytes -= claim.answer_bytes();
         }
+        self.mark_expired(&key);
+        true
     }
 
     fn mark_expired(&mut self, key: &ClaimKey) {
--- a/crates/egret_control/tests/state.rs
+++ b/crates/egret_control/tests/state.rs
@@ -243,6 +243,37 @@
     assert_eq!(claim(&mut state, session, "x", 2, LATER), ClaimState::Expired);
 }
 
+// Guards against memory and snapshots that grow with the size of the answers that are kept.
+#[test]
+fn kept_answers_are_bounded_in_bytes() {
+    const ANSWERS: u64 = 200;
+    let mut state = State::default();
+    let session = join_entry(&mut state, "one");
+    let key = |number| ClaimKey {
+        record: RecordName::new("register").expect("valid"),
+        key: IdempotencyKey::new(&format!("tree-{number}")).expect("valid"),
+    };
+    let claim = |state: &mut State, number, attempt| {
+        let request = CallerRequest { digest: VersionDigest::of(b"x"), attempt };
+        let claimed_at = UnixMillis(number);
+        state.apply(Command::Claim { key: key(number), session, request, claimed_at })
+    };
+    for number in 0..ANSWERS {
+        assert_eq!(claim(&mut state, number, 1), Reply::Claim(ClaimState::Granted));
+        let body = vec![b'x'; 256 * 1024];
+        let outcome = ClaimOutcome::Answered(StoredAnswer { body, ..answer() });
+        state.apply(Command::Settle { key: key(number), attempt: 1, outcome });
+        if number == ANSWERS / 2 {
+            state = State::restore(&state.snapshot()).expect("a valid snapshot");
+        }
+    }
+    let bytes = state.snapshot().len();
+    assert!(bytes < 17 * 1024 * 1024, "{bytes} bytes");
+    let newest = claim(&mut state, ANSWERS - 1, 2);
+    assert!(matches!(newest, Reply::Claim(ClaimState::Answered(_))), "the newest is kept");
+    assert_eq!(claim(&mut state, 0, 2), Reply::Claim(ClaimState::Expired), "and not run again");
+}
+
 #[test]
 fn snapshot_restores_the_same_state() {
     let mut state = State::default();
