Bound recorded and pushed status updates in bytes

Change: 8 MiB for the recorded updates of each kind and 4 MiB for the feed; the oldest go first.

Test: large_updates_are_bounded_in_bytes.

--- a/crates/egret_control/src/recorded_status.rs
+++ b/crates/egret_control/src/recorded_status.rs
@@ -16,6 +16,8 @@
 const RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of updates of each kind; the oldest are removed first.
 const UPDATES_MAX: usize = 16_384;
+/// Memory for the updates of each kind, in bytes; the oldest are removed first here, too.
+const UPDATES_BYTES_MAX: usize = 8 * 1024 * 1024;
 
 /// The latest replicated status of each backend server that drains or has departed, by its id, with
 /// when it was recorded.
@@ -56,13 +58,13 @@
                 let retention = u64::try_from(RETENTION.as_millis()).unwrap_or(u64::MAX);
                 let oldest = UnixMillis(at.0.saturating_sub(retention));
                 self.departures.retain(|_, (recorded, _)| *recorded >= oldest);
-                make_room(&mut self.departures);
+                self.departures.remove(&id);
+                make_room(&mut self.departures, &update);
                 self.departures.insert(id, (at, update));
             }
             StatusKey::Weights(engine) => {
-                if !self.weights.contains_key(&engine) {
-                    make_room(&mut self.weights);
-                }
+                self.weights.remove(&engine);
+                make_room(&mut self.weights, &update);
                 self.weights.insert(engine, (at, update));
             }
             StatusKey::Process(_) | StatusKey::Limit(_) | StatusKey::SuspectedParts => {}
@@ -93,13 +95,17 @@
     }
 }
 
-/// Removes the update that was recorded first if there are as many as may be kept.
-fn make_room<K: Ord + Clone>(updates: &mut BTreeMap<K, (UnixMillis, StatusUpdate)>) {
-    if updates.len() < UPDATES_MAX {
-        return;
-    }
-    let by_time = updates.iter().min_by_key(|(_, (recorded, _))| *recorded);
-    if let Some(oldest) = by_time.map(|(key, _)| key.clone()) {
-        updates.remove(&oldest);
+/// Removes the updates that were recorded first until there is room for another one.
+fn make_room<K: Ord + Clone>(
+    updates: &mut BTreeMap<K, (UnixMillis, StatusUpdate)>,
+    new: &StatusUpdate,
+) {
+    let mut bytes: usize = updates.values().map(|(_, update)| update.memory()).sum();
+    while updates.len() >= UPDATES_MAX || bytes + new.memory() > UPDATES_BYTES_MAX {
+        let by_time = updates.iter().min_by_key(|(_, (recorded, _))| *recorded);
+        let Some(oldest) = by_time.map(|(key, _)| key.clone()) else { return };
+        if let Some((_, removed)) = updates.remove(&oldest) {
+            bytes -= removed.memory();
+        }
     }
 }
--- a/crates/egret_control/tests/recorded_status.rs
+++ b/crates/egret_control/tests/recorded_status.rs
@@ -133,3 +133,19 @@
     assert!(kept.len() < 20_000, "the number of proofs is bounded");
     assert!(!kept.contains(&weights(1, 2, &[1])), "the oldest goes first");
 }
+
+// Guards against memory that grows with the size of the reports.
+#[test]
+fn large_updates_are_bounded_in_bytes() {
+    let mut state = State::default();
+    for engine in 0..2_000 {
+        let StatusUpdate::Weights(mut weights) = weights(engine, 2, &[1; 64]) else {
+            unreachable!("the helper returns weights")
+        };
+        weights.proven.models.iter_mut().for_each(|loaded| loaded.model = "m".repeat(200));
+        record(&mut state, StatusUpdate::Weights(weights), 1 + u64::from(engine));
+    }
+    let bytes = state.snapshot().len();
+    assert!(bytes < 16 * 1024 * 1024, "{bytes} bytes");
+    assert!(recorded(&state).len() > 100, "the latest are kept");
+}
--- a/crates/egret_fleet/src/feed.rs
+++ b/crates/egret_fleet/src/feed.rs
@@ -12,6 +12,8 @@
 
 /// Updates kept for followers that lag behind.
 const FEED_CAPACITY: usize = 1_024;
+/// Memory for these updates, in bytes; most take some hundred.
+const FEED_BYTES_MAX: usize = 4 * 1024 * 1024;
 
 /// Which updates a follower subscribes to.
 ///
@@ -81,21 +83,26 @@
     /// The position after the latest urgent update for [`Interest::Agents`].
     urgent_agents: u64,
     recent: VecDeque<StatusUpdate>,
+    /// The memory of `recent`, in bytes.
+    bytes: usize,
 }
 
 impl Default for Feed {
     fn default() -> Self {
         // Followers that have read nothing yet send epoch zero.
         let epoch = rand::random::<u64>().max(1);
-        Self { epoch, end: 0, urgent: 0, urgent_agents: 0, recent: VecDeque::new() }
+        Self { epoch, end: 0, urgent: 0, urgent_agents: 0, recent: VecDeque::new(), bytes: 0 }
     }
 }
 
 impl Feed {
     /// Appends an update; followers are sent an urgent one at once.
     pub fn push(&mut self, update: StatusUpdate, urgent: bool) {
-        if self.recent.len() == FEED_CAPACITY {
-            self.recent.pop_front();
+        self.bytes += update.memory();
+        while (self.recent.len() >= FEED_CAPACITY || self.bytes > FEED_BYTES_MAX)
+            && let Some(oldest) = self.recent.pop_front()
+        {
+            self.bytes -= oldest.memory();
         }
         self.end += 1;
         if urgent {
--- a/crates/egret_fleet/src/status.rs
+++ b/crates/egret_fleet/src/status.rs
@@ -261,6 +261,39 @@
         }
     }
 
+    /// Returns about how much memory it takes, in bytes.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        let models = |models: &[LoadedModel]| -> usize {
+            models.iter().map(|loaded| size_of::<LoadedModel>() + loaded.model.len()).sum()
+        };
+        let key = |key: &StatusKey| match key {
+            StatusKey::Backend(name) | StatusKey::Process(name) | StatusKey::Limit(name) => {
+                name.len()
+            }
+            StatusKey::SuspectedParts | StatusKey::Weights(_) => 0,
+        };
+        size_of::<Self>()
+            + match self {
+                Self::Backend(backend) => {
+                    backend.id.len()
+                        + backend.service.len()
+                        + backend.data_centre.as_str().len()
+                        + models(&backend.models)
+                }
+                Self::Process(process) => {
+                    process.name.len()
+                        + process.data_centre.as_str().len()
+                        + process.service.as_ref().map_or(0, String::len)
+                        + process.loaded.as_ref().map_or(0, |loaded| models(&loaded.models))
+                }
+                Self::Gone(what, _) => key(what),
+                Self::Limit(limit) => limit.backend.len(),
+                Self::Suspects(suspects) => size_of_val(suspects.parts.as_slice()),
+                Self::Weights(weights) => models(&weights.proven.models),
+            }
+    }
+
     /// Returns whether this is later than another update about the same key.
     ///
     /// Updates are ordered by their stamps, and a departure comes after the report with its stamp. An
