--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -9,7 +9,10 @@
 use egret_permits::PermitWant;
 use egret_quarantine::PartsReport;
 use egret_record::{FastMap, MemberId, Revision, WeightVersion};
-use egret_rpc::{Command, LeaveReason, Reply, SharedFleet, VersionAnnouncement, decode, encode};
+use egret_rpc::{
+    ANNOUNCEMENTS_KEPT, Command, LeaveReason, Reply, SharedFleet, VersionAnnouncement, decode,
+    encode,
+};
 use egret_store::{Journal, StoreError};
 use tokio::{
     sync::{Notify, mpsc, oneshot, watch},
@@ -217,6 +220,13 @@
             if !self.announcements.iter().any(known) {
                 let at = (now > CATCH_UP_PERIOD).then_some(now);
                 self.announcements.push((model.clone(), *version, at));
+                let of_model = |(name, _, _): &&(String, WeightVersion, _)| name == model;
+                if self.announcements.iter().filter(of_model).count() > ANNOUNCEMENTS_KEPT
+                    && let Some(oldest) =
+                        self.announcements.iter().position(|known| of_model(&known))
+                {
+                    self.announcements.remove(oldest);
+                }
             }
         }
     }
--- a/crates/egret_rpc/src/follower.rs
+++ b/crates/egret_rpc/src/follower.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     Connections,
-    request::{Reply, Request, Watch, WatchReply, decode, encode},
+    request::{ANNOUNCEMENTS_KEPT, Reply, Request, Watch, WatchReply, decode, encode},
     schema::{self, control},
 };
 
@@ -365,6 +365,8 @@
                 None => known.push((announcement.version, announced)),
             }
             known.sort_unstable();
+            let older = known.len().saturating_sub(ANNOUNCEMENTS_KEPT);
+            known.drain(..older);
         }
         let mut changed = false;
         let mut fleet = self.fleet.borrow_mut();
--- a/crates/egret_rpc/src/lib.rs
+++ b/crates/egret_rpc/src/lib.rs
@@ -29,8 +29,8 @@
     SharedFleet, UpdateCounts, watch_once,
 };
 pub use request::{
-    CallerRequest, ClaimKey, ClaimOutcome, ClaimState, Command, Compressed, DecodeError, Holder,
-    LeaveReason, MemberStatus, Operation, Query, Reply, Request, StatusReply, StoredAnswer,
-    UnixMillis, VersionAnnouncement, Watch, WatchReply, decode, encode, encode_after,
+    ANNOUNCEMENTS_KEPT, CallerRequest, ClaimKey, ClaimOutcome, ClaimState, Command, Compressed,
+    DecodeError, Holder, LeaveReason, MemberStatus, Operation, Query, Reply, Request, StatusReply,
+    StoredAnswer, UnixMillis, VersionAnnouncement, Watch, WatchReply, decode, encode, encode_after,
 };
 pub use session::{Lease, Session, SharedView};
--- a/crates/egret_rpc/src/request.rs
+++ b/crates/egret_rpc/src/request.rs
@@ -129,6 +129,9 @@
     pub members: Vec<SocketAddr>,
 }
 
+/// Announced versions of a model that are kept and sent; engines that load weights are a few behind.
+pub const ANNOUNCEMENTS_KEPT: usize = 64;
+
 /// A version of a model's weights that was announced, and how long ago.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionAnnouncement {
