--- a/crates/egret_consensus/src/log.rs
+++ b/crates/egret_consensus/src/log.rs
@@ -98,6 +98,13 @@
         self.bytes
     }
 
+    /// Returns the size of the commands after the snapshot up to `index`, in bytes.
+    #[must_use]
+    pub fn bytes_up_to(&self, index: Index) -> usize {
+        let entries = self.entries.iter().take_while(|entry| entry.index <= index);
+        entries.map(|entry| entry.payload.command_bytes()).sum()
+    }
+
     /// Returns whether there is no entry after the snapshot.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -578,7 +578,8 @@
         const LOG_BYTES_MAX: usize = 8 * 1024 * 1024;
         let log = self.node.log();
         // Writing snapshots should cost no more than writing the log.
-        log.bytes() >= LOG_BYTES_MAX.max(log.snapshot().data.len())
+        let limit = LOG_BYTES_MAX.max(log.snapshot().data.len());
+        log.bytes() >= limit && log.bytes_up_to(self.node.commit()) >= limit
     }
 
     fn next_tick(&self) -> Instant {
--- a/crates/egret_control/tests/many_changes.rs
+++ b/crates/egret_control/tests/many_changes.rs
@@ -1,15 +1,14 @@
 //! Guards against memory, snapshots and updates to followers that grow with the number and size of
 //! the changes that the state has seen.
 
-use std::{collections::BTreeMap, time::Duration};
+mod common;
 
+use common::{put, route};
 use egret_control::State;
 use egret_record::{
-    CallerLimits, Catalog, CatalogVersion, OrganisationSpec, Revision, Route, RouteKind,
-    RouteTarget, ServiceSpec, View,
+    CallerLimits, Catalog, CatalogVersion, OrganisationSpec, Revision, ServiceSpec, View,
 };
-use egret_rpc::{Command, Compressed, Reply, encode};
-use serde::Serialize;
+use egret_rpc::encode;
 
 /// Limit of a snapshot beyond the view, in bytes; less than a hundredth of a core machine's memory.
 const OVERHEAD_MAX: usize = 2 * 1024 * 1024;
@@ -37,23 +36,6 @@
     Form::LongNames,
 ];
 
-fn route(name: &str, timeout: u64) -> Route {
-    Route {
-        name: name.to_owned(),
-        host: format!("{name}.example"),
-        prefix: format!("/{name}/"),
-        kind: RouteKind::Idempotent,
-        timeout: Duration::from_millis(timeout),
-        objective: Duration::from_millis(150),
-        gap_objective: Duration::ZERO,
-        rank: 2,
-        targets: vec![RouteTarget { service: "s-0".to_owned(), weight: 1 }],
-        attempts: 2,
-        public: false,
-        regions: Vec::new(),
-    }
-}
-
 impl Form {
     fn catalog(self, version: u64) -> Catalog {
         let (mut routes, mut services, mut organisations) = (Vec::new(), 1, 1);
@@ -97,16 +79,6 @@
     }
 }
 
-fn put(state: &mut State, catalog: &Catalog) {
-    let bytes = encode(catalog);
-    let reply = state.apply(Command::PutCatalog {
-        version: catalog.version,
-        catalog: Compressed::new(&bytes),
-        source: Compressed::new(&bytes),
-    });
-    assert!(matches!(reply, Reply::Accepted { .. }), "{reply:?}");
-}
-
 #[test]
 fn snapshots_stay_as_large_as_the_view() {
     for form in FORMS {
@@ -158,64 +130,3 @@
         }
     }
 }
-
-/// A patch of the catalog as earlier programs encoded it.
-#[derive(Serialize)]
-struct EarlierPatch {
-    version: CatalogVersion,
-    routes: Vec<Route>,
-    removed: Vec<String>,
-    services: Option<BTreeMap<String, ServiceSpec>>,
-    organisations: Option<BTreeMap<String, OrganisationSpec>>,
-    limits: CallerLimits,
-}
-
-/// Returns a snapshot as earlier programs wrote it, which kept `changes` versions of all routes.
-fn earlier_snapshot(changes: u64) -> (Catalog, Vec<u8>) {
-    /// The mark of these snapshots.
-    const WITH_STATUS: u8 = 0xfd;
-    /// The number of a change of the catalog among the kinds of changes.
-    const CATALOG: u8 = 7;
-    let form = Form::AllRoutes(700);
-    let catalog = form.catalog(changes);
-    let mut state = State::default();
-    put(&mut state, &catalog);
-    let patch = |version| {
-        let catalog = form.catalog(version);
-        let patch = EarlierPatch {
-            version: catalog.version,
-            routes: catalog.routes.values().map(|route| (**route).clone()).collect(),
-            removed: vec!["r-gone".to_owned()],
-            services: Some([("s-0".to_owned(), (*catalog.services["s-0"]).clone())].into()),
-            organisations: None,
-            limits: catalog.limits,
-        };
-        (Revision(version), (CATALOG, patch))
-    };
-    let changes: Vec<_> = (1..=changes).map(patch).collect();
-    let source = Compressed::new(&encode(&catalog));
-    // Sessions, claims, outcomes, winners and history are empty, and so is the recorded status.
-    let (before, after) = ([0_u8; 9], [0_u8; 5]);
-    let mut bytes = encode(&(state.view(), before, source, changes, after));
-    bytes.insert(0, WITH_STATUS);
-    (catalog, bytes)
-}
-
-#[test]
-fn snapshot_with_changes_of_an_earlier_program_is_read() {
-    let (catalog, bytes) = earlier_snapshot(50);
-    let mut state = State::restore(&bytes).expect("an earlier snapshot");
-    assert_eq!(state.view().catalog.as_deref(), Some(&catalog));
-    assert_eq!(state.catalog_source(), Ok(Some(encode(&catalog))));
-    let small = state.snapshot();
-    assert!(small.len() < bytes.len() / 10, "{} of {} bytes", small.len(), bytes.len());
-    // A follower from before the snapshot receives the whole view, a later one what changed.
-    let behind = Revision(state.view().revision.0);
-    let mut view = state.view().clone();
-    put(&mut state, &Form::AllRoutes(700).catalog(51));
-    view.apply(state.delta(behind)).expect("a delta that follows");
-    assert_eq!(&view, state.view());
-    let mut view = View::default();
-    view.apply(state.delta(Revision(0))).expect("a whole view");
-    assert_eq!(&view, state.view());
-}
