--- a/crates/egret_control/src/claims.rs
+++ b/crates/egret_control/src/claims.rs
@@ -14,7 +14,7 @@
 /// Limit of claims that are kept with their outcome.
 const CLAIMS_KEPT: usize = 100_000;
 /// Size of the bodies of all answers that are kept, in bytes; the oldest claims expire first.
-const ANSWER_BYTES_KEPT: usize = 16 * 1024 * 1024;
+const ANSWER_BYTES_KEPT: usize = 32 * 1024 * 1024;
 /// Limit of expired keys that are kept without their outcome, to reject later claims of them.
 const EXPIRED_KEPT: usize = 1_000_000;
 
