--- a/crates/egret_control/src/driver.rs
+++ b/crates/egret_control/src/driver.rs
@@ -220,10 +220,11 @@
             if !self.announcements.iter().any(known) {
                 let at = (now > CATCH_UP_PERIOD).then_some(now);
                 self.announcements.push((model.clone(), *version, at));
-                let of_model = |(name, _, _): &&(String, WeightVersion, _)| name == model;
-                if self.announcements.iter().filter(of_model).count() > ANNOUNCEMENTS_KEPT
-                    && let Some(oldest) =
-                        self.announcements.iter().position(|known| of_model(&known))
+                let of_model = |known: &(String, WeightVersion, _)| known.0 == *model;
+                let mut positions =
+                    (0..).zip(&self.announcements).filter(|(_, known)| of_model(known));
+                if let Some((oldest, _)) = positions.next()
+                    && positions.count() >= ANNOUNCEMENTS_KEPT
                 {
                     self.announcements.remove(oldest);
                 }
--- a/crates/egret_control/src/peers.rs
+++ b/crates/egret_control/src/peers.rs
@@ -26,7 +26,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of the reply to a small message, after which the connection is closed.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Rate at which a large message arrives at least: half of a link between regions.
+/// Rate at which a large message arrives at least: less than half of a link between regions.
 const BYTES_PER_SECOND_MIN: u32 = 1_000_000;
 
 /// Message queues to the other control members.
--- a/crates/egret_control/src/state.rs
+++ b/crates/egret_control/src/state.rs
@@ -122,7 +122,7 @@
     pub(crate) history: BTreeMap<RecordName, VecDeque<StoredRecord>>,
     /// The catalog as the operator sent it.
     pub(crate) catalog_source: Compressed,
-    /// Keeps the encoding of earlier programs.
+    /// Keeps the encoding of earlier programs, which had their changes here.
     changes: EarlierChanges,
     next_session: u64,
     next_fence: u64,
