--- a/crates/egret_consensus/tests/log_bytes.rs
+++ b/crates/egret_consensus/tests/log_bytes.rs
@@ -1,7 +1,5 @@
 //! Guards against a log whose size is not known when it is compacted or truncated.
 
-#![expect(clippy::unwrap_used, reason = "a test may panic")]
-
 use std::time::Duration;
 
 use egret_consensus::{Index, Member, Membership, Node, Payload, Persisted, Timing};
