--- a/crates/egret_control/src/recorded_status.rs
+++ b/crates/egret_control/src/recorded_status.rs
@@ -10,7 +10,7 @@
 
 use egret_fleet::{StatusKey, StatusUpdate};
 use egret_rpc::UnixMillis;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
 /// Time for which a departure is kept: longer than a backend server goes on after it left.
 const RETENTION: Duration = Duration::from_secs(600);
@@ -19,21 +19,78 @@
 /// Memory for the updates of each kind, in bytes; the oldest are removed first here, too.
 const UPDATES_BYTES_MAX: usize = 8 * 1024 * 1024;
 
-/// The latest replicated status of each backend server that drains or has departed, by its id, with
-/// when it was recorded.
-pub(crate) type Departures = BTreeMap<String, (UnixMillis, StatusUpdate)>;
+/// The latest replicated status of each backend server that drains or has departed, by its id.
+pub(crate) type Departures = Updates<String>;
+
+/// Updates by their subject, with when they were recorded and a limit on their memory.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(from = "BTreeMap<K, (UnixMillis, StatusUpdate)>")]
+#[serde(bound = "K: Ord + Deserialize<'de>")]
+pub(crate) struct Updates<K> {
+    latest: BTreeMap<K, (UnixMillis, StatusUpdate)>,
+    bytes: usize,
+}
+
+impl<K> Default for Updates<K> {
+    fn default() -> Self {
+        Self { latest: BTreeMap::new(), bytes: 0 }
+    }
+}
+
+impl<K> From<BTreeMap<K, (UnixMillis, StatusUpdate)>> for Updates<K> {
+    fn from(latest: BTreeMap<K, (UnixMillis, StatusUpdate)>) -> Self {
+        let bytes = latest.values().map(|(_, update)| update.memory()).sum();
+        Self { latest, bytes }
+    }
+}
+
+impl<K: Serialize> Serialize for Updates<K> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.latest.serialize(serializer)
+    }
+}
+
+impl<K: Ord + Clone> Updates<K> {
+    /// Records an update; removes those that were recorded first if there is no room for it.
+    fn insert(&mut self, key: K, at: UnixMillis, update: StatusUpdate) {
+        self.remove(&key);
+        while self.latest.len() >= UPDATES_MAX || self.bytes + update.memory() > UPDATES_BYTES_MAX {
+            let by_time = self.latest.iter().min_by_key(|(_, (recorded, _))| *recorded);
+            let Some(oldest) = by_time.map(|(key, _)| key.clone()) else { break };
+            self.remove(&oldest);
+        }
+        self.bytes += update.memory();
+        self.latest.insert(key, (at, update));
+    }
+
+    fn remove(&mut self, key: &K) {
+        if let Some((_, update)) = self.latest.remove(key) {
+            self.bytes -= update.memory();
+        }
+    }
+
+    /// Removes the updates that were recorded before `time`.
+    fn expire(&mut self, time: UnixMillis) {
+        let bytes = &mut self.bytes;
+        self.latest.retain(|_, (recorded, update)| {
+            let is_kept = *recorded >= time;
+            *bytes -= if is_kept { 0 } else { update.memory() };
+            is_kept
+        });
+    }
+}
 
 /// The status of backend servers that is replicated.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct RecordedStatus {
     departures: Departures,
-    /// The proven weights of each engine, by its address, with when they were recorded.
-    weights: BTreeMap<SocketAddr, (UnixMillis, StatusUpdate)>,
+    /// The proven weights of each engine, by its address.
+    weights: Updates<SocketAddr>,
 }
 
 impl From<Departures> for RecordedStatus {
     fn from(departures: Departures) -> Self {
-        Self { departures, weights: BTreeMap::new() }
+        Self { departures, weights: Updates::default() }
     }
 }
 
@@ -57,15 +114,11 @@
             StatusKey::Backend(id) => {
                 let retention = u64::try_from(RETENTION.as_millis()).unwrap_or(u64::MAX);
                 let oldest = UnixMillis(at.0.saturating_sub(retention));
-                self.departures.retain(|_, (recorded, _)| *recorded >= oldest);
-                self.departures.remove(&id);
-                make_room(&mut self.departures, &update);
-                self.departures.insert(id, (at, update));
+                self.departures.expire(oldest);
+                self.departures.insert(id, at, update);
             }
             StatusKey::Weights(engine) => {
-                self.weights.remove(&engine);
-                make_room(&mut self.weights, &update);
-                self.weights.insert(engine, (at, update));
+                self.weights.insert(engine, at, update);
             }
             StatusKey::Process(_) | StatusKey::Limit(_) | StatusKey::SuspectedParts => {}
         }
@@ -76,8 +129,8 @@
     /// Later reports of an incarnation that drains count as the first one.
     pub(crate) fn covers(&self, update: &StatusUpdate) -> bool {
         let known = match update.key() {
-            StatusKey::Backend(id) => self.departures.get(&id),
-            StatusKey::Weights(engine) => self.weights.get(&engine),
+            StatusKey::Backend(id) => self.departures.latest.get(&id),
+            StatusKey::Weights(engine) => self.weights.latest.get(&engine),
             StatusKey::Process(_) | StatusKey::Limit(_) | StatusKey::SuspectedParts => return true,
         };
         known.is_some_and(|(_, known)| match (known, update) {
@@ -90,22 +143,7 @@
 
     /// Returns all updates.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &StatusUpdate> {
-        let departures = self.departures.values();
-        departures.chain(self.weights.values()).map(|(_, update)| update)
-    }
-}
-
-/// Removes the updates that were recorded first until there is room for another one.
-fn make_room<K: Ord + Clone>(
-    updates: &mut BTreeMap<K, (UnixMillis, StatusUpdate)>,
-    new: &StatusUpdate,
-) {
-    let mut bytes: usize = updates.values().map(|(_, update)| update.memory()).sum();
-    while updates.len() >= UPDATES_MAX || bytes + new.memory() > UPDATES_BYTES_MAX {
-        let by_time = updates.iter().min_by_key(|(_, (recorded, _))| *recorded);
-        let Some(oldest) = by_time.map(|(key, _)| key.clone()) else { return };
-        if let Some((_, removed)) = updates.remove(&oldest) {
-            bytes -= removed.memory();
-        }
+        let departures = self.departures.latest.values();
+        departures.chain(self.weights.latest.values()).map(|(_, update)| update)
     }
 }
