--- a/crates/egret_control/src/state.rs
+++ b/crates/egret_control/src/state.rs
@@ -70,7 +70,7 @@
     winners: BTreeMap<RecordName, OperationId>,
     history: BTreeMap<RecordName, VecDeque<StoredRecord>>,
     catalog_source: Compressed,
-    changes: EarlierChanges,
+    earlier_changes: EarlierChanges,
     next_session: u64,
     next_fence: u64,
     plan_due: bool,
@@ -79,7 +79,7 @@
 impl From<StateWithoutParts> for State {
     fn from(state: StateWithoutParts) -> Self {
         Self {
-            changed: ChangeIndex::default(),
+            change_index: ChangeIndex::default(),
             view: state.view.into(),
             sessions: state.sessions,
             claims: state.claims,
@@ -87,7 +87,7 @@
             winners: state.winners,
             history: state.history,
             catalog_source: state.catalog_source,
-            changes: state.changes,
+            earlier_changes: state.earlier_changes,
             next_session: state.next_session,
             next_fence: state.next_fence,
             plan_due: state.plan_due,
@@ -123,7 +123,7 @@
     /// The catalog as the operator sent it.
     pub(crate) catalog_source: Compressed,
     /// Keeps the encoding of earlier programs, which had their changes here.
-    changes: EarlierChanges,
+    earlier_changes: EarlierChanges,
     next_session: u64,
     next_fence: u64,
     /// Whether backend servers joined or left since the last plan.
@@ -133,7 +133,7 @@
     pub(crate) recorded: RecordedStatus,
     /// What changed lately, for session holders that are behind; beside the rest as well.
     #[serde(skip)]
-    changed: ChangeIndex,
+    change_index: ChangeIndex,
 }
 
 impl State {
@@ -163,7 +163,7 @@
     /// Encodes the complete state.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
-        encode_after(vec![WITH_CHANGE_INDEX], &(self, &self.recorded, &self.changed))
+        encode_after(vec![WITH_CHANGE_INDEX], &(self, &self.recorded, &self.change_index))
     }
 
     /// Returns whether an earlier program wrote this snapshot, which then has all changes that it kept.
@@ -180,9 +180,9 @@
         let state = match bytes.split_first() {
             None => Self::default(),
             Some((&WITH_CHANGE_INDEX, bytes)) => {
-                let (state, recorded, changed) =
+                let (state, recorded, change_index) =
                     decode::<(Self, RecordedStatus, ChangeIndex)>(bytes)?;
-                return Ok(Self { recorded, changed, ..state });
+                return Ok(Self { recorded, change_index, ..state });
             }
             Some((&WITH_STATUS, bytes)) => {
                 let (state, recorded) = decode::<(Self, RecordedStatus)>(bytes)?;
@@ -195,8 +195,8 @@
             Some((&WITH_PARTS, state)) => decode(state)?,
             Some(_) => decode::<StateWithoutParts>(bytes).map(Self::from)?,
         };
-        let changed = ChangeIndex::starting_at(state.view.revision);
-        Ok(Self { changed, ..state })
+        let change_index = ChangeIndex::starting_at(state.view.revision);
+        Ok(Self { change_index, ..state })
     }
 
     /// Returns the latest state of what changed after revision `from`, or the complete view.
@@ -205,10 +205,10 @@
     /// since is known.
     #[must_use]
     pub fn delta(&self, from: Revision) -> Delta {
-        if from == Revision(0) || from > self.view.revision || !self.changed.covers(from) {
+        if from == Revision(0) || from > self.view.revision || !self.change_index.covers(from) {
             return Delta::Snapshot(Box::new(self.view.clone()));
         }
-        let changes = self.view.changes_of(self.changed.after(from));
+        let changes = self.view.changes_of(self.change_index.after(from));
         Delta::Changes { from, to: self.view.revision, changes }
     }
 
@@ -225,14 +225,14 @@
             _ => false,
         };
         from == Revision(0)
-            || !self.changed.covers(from)
-            || !self.changed.after(from).all(is_progress)
+            || !self.change_index.covers(from)
+            || !self.change_index.after(from).all(is_progress)
     }
 
     /// Applies a change to the view, under a new revision.
     pub(crate) fn change(&mut self, change: Change) -> Revision {
         let revision = self.view.revision.next();
-        self.changed.record(change.subjects(), revision);
+        self.change_index.record(change.subjects(), revision);
         self.view.apply_change(change);
         self.view.revision = revision;
         revision
